--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -7,8 +7,8 @@
 	"os"
 	"time"
 
-	"reelgate/internal/wire"
-	"reelgate/logic"
+	"standpulley/internal/wire"
+	"standpulley/logic"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"reelgate/logic"
+	"standpulley/logic"
 )
 
 // conf reads the settings of an ATTACH by path and keeps the first fault.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"reelgate/logic"
+	"standpulley/logic"
 )
 
 // Error is malformed input: the line's number and the field at fault.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"reelgate/logic"
+	"standpulley/logic"
 )
 
 func next(t *testing.T, text string) (Message, error) {
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"reelgate/logic"
+	"standpulley/logic"
 )
 
 // A host feeds events with the clock and carries out the actions. This one serves a single request by hand: the
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,4 +1,4 @@
-// The decisions of reelgate. The interface (settings, events, actions) is in api.go.
+// The decisions of standpulley. The interface (settings, events, actions) is in api.go.
 package logic
 
 import (
