--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,170 @@
+// Package config is the one place where configuration is read, checked and given defaults. What is wrong is
+// reported with the key at fault.
+package config
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"standpulley/internal/discovery"
+	"standpulley/logic"
+)
+
+// Config is all that a dispatcher is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     discovery.List
+	Settings  logic.Settings
+}
+
+// Limits bound the machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// file is the form on disk. Settings stay loose until they are flattened: logic.Settings is their only type.
+type file struct {
+	Name      string         `json:"name"`
+	Listen    string         `json:"listen"`
+	Discovery string         `json:"discovery"`
+	Seed      string         `json:"seed"`
+	Limits    Limits         `json:"limits"`
+	Known     discovery.List `json:"known"`
+	Settings  map[string]any `json:"settings"`
+}
+
+// FromEnvironment reads the file that EDGE_CONFIG names; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY stand in for
+// keys that it lacks.
+func FromEnvironment() (Config, error) {
+	path := os.Getenv("EDGE_CONFIG")
+	if path == "" {
+		return Config{}, &Fault{"EDGE_CONFIG", "not set: it names the configuration file"}
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	return Parse(text, os.Getenv)
+}
+
+// Parse reads a configuration; env gives what the file lacks.
+func Parse(text []byte, env func(string) string) (Config, error) {
+	var f file
+	if err := jsoniter.Unmarshal(text, &f); err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
+	for _, d := range []struct {
+		to  *string
+		key string
+	}{{&c.Name, "EDGE_NAME"}, {&c.Listen, "EDGE_LISTEN"}, {&c.Discovery, "EDGE_DISCOVERY"}} {
+		if *d.to == "" {
+			*d.to = env(d.key)
+		}
+	}
+	for key, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return c, &Fault{key, fmt.Sprintf("%q is not host:port", addr)}
+		}
+	}
+	if f.Seed != "" {
+		seed, err := strconv.ParseUint(f.Seed, 16, 64)
+		if err != nil {
+			return c, &Fault{"seed", fmt.Sprintf("%q is not a number of hex digits", f.Seed)}
+		}
+		c.Seed = seed
+	}
+	if c.Limits.Cores < 0 || c.Limits.MemoryMB < 0 || c.Limits.Sockets < 0 {
+		return c, &Fault{"limits", "a negative figure"}
+	}
+	c.Limits.defaults()
+	if c.Limits.Sockets < minSockets {
+		return c, &Fault{"limits.sockets", fmt.Sprintf("%d are too few: at least %d", c.Limits.Sockets, minSockets)}
+	}
+	if err := c.Known.Check(); err != nil {
+		return c, &Fault{"known", err.Error()}
+	}
+	c.Known.Full = true
+	val := Values{}
+	flatten(val, "", f.Settings)
+	settings, err := Settings(val)
+	if fault, ok := err.(*Fault); ok {
+		return c, &Fault{"settings." + fault.Key, fault.Text}
+	}
+	c.Settings = settings
+	if _, err := logic.New(settings, c.Seed); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	return c, nil
+}
+
+const minSockets = 64
+
+// defaults are the limits of a small machine.
+func (l *Limits) defaults() {
+	if l.Cores == 0 {
+		l.Cores = 1
+	}
+	if l.MemoryMB == 0 {
+		l.MemoryMB = 192
+	}
+	if l.Sockets == 0 {
+		l.Sockets = 1024
+	}
+}
+
+// flatten spells nested settings as the simulator's wire does: paths with dots, lists of simple values joined by
+// commas, lists of objects by .count and their numbers.
+func flatten(to Values, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for key, x := range v {
+			flatten(to, join(path, key), x)
+		}
+	case []any:
+		words := make([]string, 0, len(v))
+		objects := false
+		for i, x := range v {
+			if _, ok := x.(map[string]any); ok {
+				objects = true
+				flatten(to, join(path, strconv.Itoa(i)), x)
+			} else {
+				words = append(words, plain(x))
+			}
+		}
+		if objects || len(v) == 0 {
+			to[path+".count"] = strconv.Itoa(len(v))
+		}
+		to[path] = strings.Join(words, ",")
+	default:
+		to[path] = plain(v)
+	}
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+func plain(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case float64:
+		return strconv.FormatFloat(v, 'f', -1, 64)
+	}
+	return fmt.Sprint(v)
+}
--- a/internal/wire/settings.go
+++ b/internal/config/settings.go
@@ -1,4 +1,4 @@
-package wire
+package config
 
 import (
 	"fmt"
@@ -10,10 +10,25 @@
 	"standpulley/logic"
 )
 
-// conf reads the settings of an ATTACH by path and keeps the first fault.
+// Fault names the key at fault and says what is wrong with it.
+type Fault struct{ Key, Text string }
+
+func (f *Fault) Error() string { return fmt.Sprintf("key %s: %s", f.Key, f.Text) }
+
+// Values holds settings by path, as the simulator's wire spells them. Nested JSON is flattened into it, so
+// that both forms share the one mapping below.
+type Values map[string]string
+
+// conf reads Values and keeps the first fault.
 type conf struct {
-	f   *fields
-	val map[string]string
+	val Values
+	err *Fault
+}
+
+func (c *conf) fail(key, text string) {
+	if c.err == nil {
+		c.err = &Fault{key, text}
+	}
 }
 
 func (c *conf) num(path string) float64 {
@@ -23,7 +38,7 @@
 	}
 	v, err := strconv.ParseFloat(text, 64)
 	if err != nil {
-		c.f.fail(path, fmt.Sprintf("%q is not a number", text))
+		c.fail(path, fmt.Sprintf("%q is not a number", text))
 	}
 	return v
 }
@@ -41,7 +56,7 @@
 	case "true", "1":
 		return true
 	}
-	c.f.fail(path, fmt.Sprintf("%q is not a bool", c.val[path]))
+	c.fail(path, fmt.Sprintf("%q is not a bool", c.val[path]))
 	return false
 }
 
@@ -60,7 +75,7 @@
 	}
 	v, err := strconv.ParseFloat(l[min(i, len(l)-1)], 64)
 	if err != nil {
-		c.f.fail(path, fmt.Sprintf("%q holds what is not a number", c.val[path]))
+		c.fail(path, fmt.Sprintf("%q holds what is not a number", c.val[path]))
 	}
 	return v
 }
@@ -69,7 +84,7 @@
 func (c *conf) count(path string) int {
 	n := c.num(path + ".count")
 	if n < 0 || n > 10000 {
-		c.f.fail(path+".count", "out of range")
+		c.fail(path+".count", "out of range")
 		return 0
 	}
 	return int(n)
@@ -78,7 +93,7 @@
 func word[T any](c *conf, path string, known map[string]T) (v T) {
 	if text, ok := c.val[path]; ok {
 		if v, ok = known[text]; !ok {
-			c.f.fail(path, fmt.Sprintf("%q is not known", text))
+			c.fail(path, fmt.Sprintf("%q is not known", text))
 		}
 	}
 	return v
@@ -91,18 +106,9 @@
 	scopes = map[string]logic.Scope{"all": logic.AllServers, "zone": logic.SameZone, "cell": logic.SameCell}
 )
 
-func (r *Reader) attach(f *fields, m *Message) {
-	c := &conf{f: f, val: map[string]string{}}
-	for f.next() {
-		switch f.name {
-		case "salt":
-			m.Seed = uint64(f.int())
-		default:
-			c.val[f.name] = string(f.val)
-			m.common(f)
-		}
-	}
-	s := &m.Settings
+// Settings maps the values onto the module's settings, the only type that holds them.
+func Settings(val Values) (logic.Settings, error) {
+	c, s := &conf{val: val}, &logic.Settings{}
 	s.Siblings = max(int(c.num("siblings")), 1)
 	s.Zone = c.val["zone"]
 	duties := c.list("family_info.duty_by_kind")
@@ -111,7 +117,7 @@
 		if i < len(duties) {
 			role, ok := roles[duties[i]]
 			if !ok {
-				f.fail("family_info.duty_by_kind", fmt.Sprintf("%q is not known", duties[i]))
+				c.fail("family_info.duty_by_kind", fmt.Sprintf("%q is not known", duties[i]))
 			}
 			k.Role = role
 		}
@@ -146,4 +152,14 @@
 	s.FallMultiple = c.num("obligations.fall_multiple")
 	s.FallTime = c.time("obligations.fall_us")
 	s.AskEvery = c.time("obligations.ask_every_us")
+	s.DrainGrace = c.time("obligations.drain_grace_us")
+	s.AnswerSlack = c.time("obligations.answer_slack_us")
+	s.ConnIdle = c.time("limits.conn_idle_us")
+	s.ConnectTimeout = c.time("limits.connect_timeout_us")
+	s.MaxOpen = int(c.num("limits.max_open"))
+	s.Resume = c.flag("family_info.resume")
+	if c.err != nil {
+		return *s, c.err
+	}
+	return *s, nil
 }
--- /dev/null
+++ b/internal/discovery/list.go
@@ -0,0 +1,67 @@
+// Package discovery keeps the dispatcher told of the replicas: it decodes the lists and runs the watch.
+package discovery
+
+import (
+	"fmt"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"standpulley/internal/dispatch"
+	"standpulley/logic"
+)
+
+var states = map[string]logic.Availability{"in_service": logic.Ready, "terminating": logic.Draining, "terminated": logic.Gone}
+
+// List is the whole list of replicas, or the entries of it that changed.
+type List struct {
+	Version int64   `json:"version"`
+	Full    bool    `json:"full"`
+	Servers []Entry `json:"servers"`
+}
+
+// Entry is one replica as discovery names it.
+type Entry struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int64   `json:"cell"`
+	State     string  `json:"state"`
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"started_ms"`
+}
+
+// Decode reads a list and says which entry is at fault.
+func Decode(body []byte) (List, error) {
+	var l List
+	if err := jsoniter.Unmarshal(body, &l); err != nil {
+		return l, fmt.Errorf("list of replicas: %w", err)
+	}
+	return l, l.Check()
+}
+
+// Check names the first entry that no dispatcher can work with.
+func (l List) Check() error {
+	for i, e := range l.Servers {
+		if _, ok := states[e.State]; !ok {
+			return fmt.Errorf("servers[%d].state: %q is not known", i, e.State)
+		}
+		if e.ID == "" || e.Addr == "" && e.State != "terminated" {
+			return fmt.Errorf("servers[%d]: an entry needs id and addr", i)
+		}
+	}
+	return nil
+}
+
+// Update puts a checked list into the core's form.
+func (l List) Update() dispatch.Update {
+	u := dispatch.Update{Full: l.Full, Servers: make([]dispatch.Server, len(l.Servers))}
+	for i, e := range l.Servers {
+		u.Servers[i] = dispatch.Server{Addr: e.Addr, ServerEntry: logic.ServerEntry{
+			ID: e.ID, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, Availability: states[e.State], Weight: e.Weight,
+			Started: time.Duration(e.StartedMS) * time.Millisecond, // the core's clock counts from the same moment
+		}}
+	}
+	return u
+}
--- /dev/null
+++ b/internal/dispatch/admit.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"time"
+
+	"standpulley/logic"
+)
+
+// request is one that was taken, from its arrival until its answer is given and no attempt is out.
+type request struct {
+	id       string
+	ask      logic.Request
+	received time.Time
+	deadline time.Time
+	class    *logic.Class
+	parcel   Parcel
+	ticket   *Ticket
+	answered bool
+	verdict  Verdict
+	sent     int
+	out      map[int]*attempt // by number
+	ran      bool             // an attempt that ended may have run
+	loose    bool             // a read ended without a word on what it left behind
+}
+
+const (
+	fullAfter = 200 * time.Millisecond // advice to a client for whom the table has no room
+	// The module's own timer fires at the deadline. What it left unanswered is failed this much later, still
+	// inside the slack.
+	backstop = 10 * time.Millisecond
+)
+
+// admit enters a request into the table and lets the module decide. Turned away here is only what the module is
+// never told of: a request beyond the table's bound, and an id that is open already.
+func (d *Dispatcher) admit(r *request) {
+	d.Counts.taken(r)
+	for i := range d.set.Classes {
+		if d.set.Classes[i].Name == r.ask.Class {
+			r.class = &d.set.Classes[i]
+		}
+	}
+	switch {
+	case r.class == nil:
+		d.answer(r, Answer{Verdict: Failed, Reason: "unknown class"})
+		return
+	case d.requests[r.id] != nil:
+		d.answer(r, Answer{Verdict: Failed, Reason: "a request with this id is open"})
+		return
+	case len(d.requests) >= d.maxOpen:
+		d.answer(r, Answer{Verdict: Refused, After: fullAfter, Reason: "too many requests are open"})
+		return
+	}
+	r.out = map[int]*attempt{}
+	d.requests[r.id] = r
+	r.deadline = r.received.Add(r.ask.Remaining)
+	r.ask.Remaining = max(r.deadline.Sub(d.clock()), 0) // some of it may have gone by on the way here
+	d.after(r.ask.Remaining+backstop, func() { d.overtime(r) })
+	d.route(logic.Event{Kind: logic.Arrived, RequestID: r.id, Request: r.ask})
+}
+
+// overtime answers a request that the module has not answered by its deadline.
+func (d *Dispatcher) overtime(r *request) {
+	if !r.answered {
+		d.answer(r, Answer{Verdict: Failed, Reason: "deadline"})
+		d.cancelAll(r)
+		d.route(logic.Event{Kind: logic.Departed, RequestID: r.id})
+		d.settle(r)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/book.go
@@ -0,0 +1,183 @@
+package dispatch
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"standpulley/logic"
+)
+
+// Ended is called by the transport when the attempt is over.
+func (at *attempt) Ended(res Result) { at.d.post(ending{at, res}) }
+
+type ending struct {
+	at  *attempt
+	res Result
+}
+
+func (e ending) apply(d *Dispatcher) {
+	at, r := e.at, e.at.r
+	delete(r.out, at.n)
+	out := e.res.Outcome
+	if at.dropped && !at.given && out != logic.ReadDone && out != logic.Full && out != logic.ConnectFailed {
+		out = logic.Cancelled
+	}
+	switch out {
+	case logic.Full, logic.ConnectFailed, logic.NotSent, logic.ReadDone:
+	default:
+		if at.role == logic.Reader {
+			// A read may have ended well just as its connection was closed or broke.
+			r.loose = true
+		} else {
+			r.ran = true
+		}
+	}
+	d.Counts.ended(out)
+	d.Counts.note(r, at, out, e.res.Detail)
+	d.route(logic.Event{Kind: logic.Ended, RequestID: r.id, Server: at.server, Attempt: at.n, Outcome: out,
+		Took: d.clock().Sub(at.sentAt), Tokens: e.res.Tokens, NoState: e.res.NoState, Over: r.answered})
+	d.settle(r)
+}
+
+type departure struct{ r *request }
+
+// apply books a client that left before its answer.
+func (g departure) apply(d *Dispatcher) {
+	if g.r.answered {
+		return
+	}
+	d.answer(g.r, Answer{Verdict: Left})
+	d.cancelAll(g.r)
+	d.route(logic.Event{Kind: logic.Departed, RequestID: g.r.id})
+	d.settle(g.r)
+}
+
+// settle forgets a request that is answered and has no attempt out.
+func (d *Dispatcher) settle(r *request) {
+	if r.answered && len(r.out) == 0 && d.requests[r.id] == r {
+		delete(d.requests, r.id)
+		if r.loose && r.verdict != Served {
+			d.release(r.id)
+			// The read may end on its replica a moment after the first call has come there.
+			d.after(looseAgain, func() { d.release(r.id) })
+		}
+	}
+}
+
+const (
+	looseAgain = 150 * time.Millisecond
+	askedMost  = 4 // replicas that a release call may try in turn
+)
+
+// release asks a replica to have all let go that is held for a request. Any replica will do, so the ones that
+// are surest to be there come first: in service, and long started.
+func (d *Dispatcher) release(id string) {
+	d.Counts.released()
+	all := make([]*Server, 0, len(d.servers))
+	for _, s := range d.servers {
+		all = append(all, s)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i], all[j]
+		if a.Availability != b.Availability {
+			return a.Availability < b.Availability
+		}
+		if a.Started != b.Started {
+			return a.Started < b.Started
+		}
+		return a.ID < b.ID
+	})
+	var addrs []string
+	for _, s := range all[:min(len(all), askedMost)] {
+		addrs = append(addrs, s.Addr)
+	}
+	d.releaser.Release(id, addrs)
+}
+
+// Counts is the book: what has been taken, sent and answered. It may be read from any goroutine.
+type Counts struct {
+	mu     sync.Mutex
+	totals Totals
+	recent []Line // a ring of the last final answers
+	next   int
+}
+
+// Totals are the sums since the start.
+type Totals struct {
+	Taken    int            `json:"taken"`
+	Verdicts map[string]int `json:"verdicts"`
+	Attempts int            `json:"attempts"`
+	Outcomes map[string]int `json:"outcomes"`
+	Releases int            `json:"releases"`
+}
+
+// Line is one final answer or attempt, for people.
+type Line struct {
+	At     time.Time `json:"at"`
+	ID     string    `json:"id"`
+	Class  string    `json:"class"`
+	Server string    `json:"server,omitempty"`
+	What   string    `json:"what"`
+	Took   string    `json:"took"`
+	Detail string    `json:"detail,omitempty"`
+}
+
+const recentLines = 200
+
+func (c *Counts) update(f func(t *Totals)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.totals.Verdicts == nil {
+		c.totals.Verdicts, c.totals.Outcomes = map[string]int{}, map[string]int{}
+	}
+	f(&c.totals)
+}
+
+func (c *Counts) taken(*request)        { c.update(func(t *Totals) { t.Taken++ }) }
+func (c *Counts) sent()                 { c.update(func(t *Totals) { t.Attempts++ }) }
+func (c *Counts) released()             { c.update(func(t *Totals) { t.Releases++ }) }
+func (c *Counts) ended(o logic.Outcome) { c.update(func(t *Totals) { t.Outcomes[o.String()]++ }) }
+func (c *Counts) answered(r *request, a Answer) {
+	c.update(func(t *Totals) { t.Verdicts[a.Verdict.String()]++ })
+	c.add(Line{ID: r.id, Class: r.ask.Class, What: a.Verdict.String(), Took: took(r.received), Detail: a.Reason})
+}
+
+func (c *Counts) note(r *request, at *attempt, out logic.Outcome, detail string) {
+	c.add(Line{ID: r.id, Class: r.ask.Class, Server: at.server, What: out.String(), Took: took(at.sentAt), Detail: detail})
+}
+
+func took(since time.Time) string { return time.Since(since).Round(100 * time.Microsecond).String() }
+
+func (c *Counts) add(l Line) {
+	l.At = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.recent) < recentLines {
+		c.recent = append(c.recent, l)
+	} else {
+		c.recent[c.next] = l
+	}
+	c.next = (c.next + 1) % recentLines
+}
+
+// Snapshot gives the totals and the last lines, the oldest first.
+func (c *Counts) Snapshot() (Totals, []Line) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.totals
+	t.Verdicts, t.Outcomes = copyOf(t.Verdicts), copyOf(t.Outcomes)
+	var lines []Line
+	if len(c.recent) == recentLines {
+		lines = append(lines, c.recent[c.next:]...)
+	}
+	return t, append(lines, c.recent[:min(c.next, len(c.recent))]...)
+}
+
+func copyOf(m map[string]int) map[string]int {
+	c := make(map[string]int, len(m))
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,215 @@
+// Package dispatch is the core of the dispatcher: requests, attempts and outcomes. It knows no wire.
+//
+// One goroutine (Run) owns the decision module, the clock and the timers. Everybody else posts messages to it.
+// A request passes the stages take in, admit, route, send, relay and book, each in a file of its own:
+//
+//	take.go   a front hands in a request and gets a Ticket for its one final answer
+//	admit.go  the request enters the table of open requests, or is turned away
+//	route.go  the module decides; its actions are carried out
+//	send.go   an attempt goes out, if the rules on repeats let it
+//	relay.go  an attempt's stream begins and is handed to the client
+//	book.go   an attempt ends, a client leaves: what is owed and held is settled
+package dispatch
+
+import (
+	"container/heap"
+	"log"
+	"time"
+
+	"standpulley/logic"
+)
+
+// Server is one entry of the list of replicas with the address at which it is reached.
+type Server struct {
+	logic.ServerEntry
+	Addr string
+}
+
+// Update is the whole list of replicas, or what changed of it.
+type Update struct {
+	Full    bool
+	Servers []Server
+}
+
+// Target is where an attempt goes and how long it may take.
+type Target struct {
+	Server string
+	Addr   string
+	Until  time.Time
+}
+
+// Parcel is a request in the form of its wire; only it knows how to travel.
+type Parcel interface {
+	// Send starts an attempt and returns at once. The attempt tells of itself through Report.
+	Send(to Target, tell Report) Attempt
+}
+
+// Attempt is one that is out.
+type Attempt interface {
+	// Cancel gives it up. It does not block; the attempt still reports that it ended.
+	Cancel()
+}
+
+// Report is how an attempt tells of itself: Began at most once, then Ended exactly once.
+type Report interface {
+	Began(Stream)
+	Ended(Result)
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Outcome logic.Outcome
+	Tokens  int64  // prompt tokens found kept, with ReadDone
+	NoState bool   // with Full: there was no state to fetch
+	Detail  string // for people
+}
+
+// Stream is an answer that has begun. Whoever holds it reads to the end or closes it.
+type Stream interface {
+	// Next gives the next bytes, valid until the call after. io.EOF tells that the stream is whole; any other
+	// error, that it is not.
+	Next() ([]byte, error)
+	Close()
+}
+
+// Releaser lets go of all that replicas hold for a request. It does not block.
+type Releaser interface {
+	Release(id string, addrs []string)
+}
+
+// Clock tells the time; the module's clock is the time since the Unix epoch.
+type Clock func() time.Time
+
+// message is what is posted to the goroutine that owns the core.
+type message interface{ apply(d *Dispatcher) }
+
+const inboxSize = 1024 // further posts wait; what can post is bounded by the open requests
+
+// Dispatcher is the core.
+type Dispatcher struct {
+	Phases *Phases
+	Counts *Counts
+
+	set      logic.Settings
+	router   *logic.Router
+	releaser Releaser
+	clock    Clock
+	inbox    chan message
+	done     chan struct{}
+
+	// What follows belongs to Run's goroutine.
+	requests map[string]*request
+	servers  map[string]*Server
+	alarms   alarms
+	actions  []logic.Action
+	events   []logic.Event // that answer actions at once
+	maxOpen  int
+}
+
+// New makes a Dispatcher that knows the replicas of an initial list. maxOpen bounds its table of requests.
+func New(set logic.Settings, seed uint64, known Update, releaser Releaser, maxOpen int) (*Dispatcher, error) {
+	router, err := logic.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	if set.MaxOpen > 0 {
+		maxOpen = min(maxOpen, set.MaxOpen)
+	}
+	d := &Dispatcher{Phases: newPhases(), Counts: &Counts{}, set: set, router: router, releaser: releaser,
+		clock: time.Now, inbox: make(chan message, inboxSize), done: make(chan struct{}),
+		requests: map[string]*request{}, servers: map[string]*Server{}, maxOpen: maxOpen}
+	known.apply(d)
+	return d, nil
+}
+
+// Settings are those that the dispatcher was made with.
+func (d *Dispatcher) Settings() logic.Settings { return d.set }
+
+// Run owns the core until Stop.
+func (d *Dispatcher) Run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if len(d.alarms) > 0 {
+			timer.Reset(time.Until(d.alarms[0].at))
+		} else {
+			timer.Reset(time.Hour)
+		}
+		select {
+		case m := <-d.inbox:
+			m.apply(d)
+		case <-timer.C:
+		case <-d.done:
+			return
+		}
+		d.ring()
+	}
+}
+
+// Stop ends Run. Messages posted later are dropped.
+func (d *Dispatcher) Stop() { close(d.done) }
+
+// post hands a message to the core's goroutine.
+func (d *Dispatcher) post(m message) {
+	select {
+	case d.inbox <- m:
+	case <-d.done:
+	}
+}
+
+// now is the module's clock.
+func (d *Dispatcher) now() time.Duration { return sinceEpoch(d.clock()) }
+
+func sinceEpoch(t time.Time) time.Duration { return time.Duration(t.UnixNano()) }
+
+// Tell takes a list of replicas.
+func (d *Dispatcher) Tell(u Update) { d.post(u) }
+
+func (u Update) apply(d *Dispatcher) {
+	ev := logic.Event{Kind: logic.ListChanged}
+	if u.Full {
+		ev.Kind = logic.ListComplete
+		d.servers = map[string]*Server{}
+	}
+	for _, s := range u.Servers {
+		ev.Servers = append(ev.Servers, s.ServerEntry)
+		if s.Availability == logic.Gone {
+			delete(d.servers, s.ID)
+		} else {
+			d.servers[s.ID] = &s
+		}
+		log.Printf("list: %s %s %s zone %s cell %d is %v", s.ID, s.Kind, s.Addr, s.Zone, s.Cell, s.Availability)
+	}
+	d.route(ev)
+}
+
+// alarm is a time at which something is to be done on the core's goroutine.
+type alarm struct {
+	at time.Time
+	do func()
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int           { return len(a) }
+func (a alarms) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
+func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(x any)        { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	old[len(old)-1] = alarm{}
+	*a = old[:len(old)-1]
+	return x
+}
+
+func (d *Dispatcher) after(wait time.Duration, do func()) {
+	heap.Push(&d.alarms, alarm{d.clock().Add(wait), do})
+}
+
+// ring does what is due.
+func (d *Dispatcher) ring() {
+	for len(d.alarms) > 0 && !d.alarms[0].at.After(d.clock()) {
+		heap.Pop(&d.alarms).(alarm).do()
+	}
+}
--- /dev/null
+++ b/internal/dispatch/phase.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"fmt"
+	"sync"
+)
+
+// Phase is a state of the program between its start and its exit.
+type Phase uint8
+
+// The phases, in their order. None is entered twice.
+const (
+	Starting Phase = iota // not yet open to clients
+	Ready                 // serving
+	Draining              // told to stop: what comes is still served, connections are not kept
+	Stopped               // nothing is open any more
+)
+
+func (p Phase) String() string {
+	return [...]string{"starting", "ready", "draining", "stopped"}[p]
+}
+
+// Phases holds the program's phase and counts what must be answered before it may stop.
+type Phases struct {
+	mu   sync.Mutex
+	now  Phase
+	open int
+	idle *sync.Cond
+}
+
+func newPhases() *Phases {
+	p := &Phases{}
+	p.idle = sync.NewCond(&p.mu)
+	return p
+}
+
+// Now is the present phase.
+func (p *Phases) Now() Phase {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now
+}
+
+// Enter goes on to a later phase; going back is an error.
+func (p *Phases) Enter(next Phase) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if next <= p.now {
+		return fmt.Errorf("phase %v does not follow %v", next, p.now)
+	}
+	p.now = next
+	return nil
+}
+
+// begin and end count the requests that are owed an answer or whose stream runs.
+func (p *Phases) begin() {
+	p.mu.Lock()
+	p.open++
+	p.mu.Unlock()
+}
+
+func (p *Phases) end() {
+	p.mu.Lock()
+	if p.open--; p.open == 0 {
+		p.idle.Broadcast()
+	}
+	p.mu.Unlock()
+}
+
+// AwaitIdle returns when no request is open.
+func (p *Phases) AwaitIdle() {
+	p.mu.Lock()
+	for p.open > 0 {
+		p.idle.Wait()
+	}
+	p.mu.Unlock()
+}
--- /dev/null
+++ b/internal/dispatch/relay.go
@@ -0,0 +1,29 @@
+package dispatch
+
+import "standpulley/logic"
+
+// Began is called by the transport when the first event of an answer is there.
+func (at *attempt) Began(s Stream) { at.d.post(beginning{at, s}) }
+
+type beginning struct {
+	at     *attempt
+	stream Stream
+}
+
+// apply hands the stream to the client: from now on the attempt is the client's, and nothing more goes out for
+// the request. Where another answer came first, or the attempt was given up, the stream is closed.
+func (b beginning) apply(d *Dispatcher) {
+	at, r := b.at, b.at.r
+	if r.answered || at.dropped {
+		at.dropped = true
+		b.stream.Close()
+		return
+	}
+	at.given = true
+	d.route(logic.Event{Kind: logic.StreamStarted, RequestID: r.id, Server: at.server, Attempt: at.n,
+		Took: d.clock().Sub(at.sentAt)})
+	d.answer(r, Answer{Verdict: Served, Stream: b.stream})
+	for _, other := range r.out { // a second copy has lost the race
+		other.cancel()
+	}
+}
--- /dev/null
+++ b/internal/dispatch/route.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"standpulley/logic"
+)
+
+// route lets the module decide on an event and carries out what it says. Actions that have their outcome at once
+// make further events; they follow in their order.
+func (d *Dispatcher) route(ev logic.Event) {
+	d.events = append(d.events, ev)
+	if len(d.events) > 1 {
+		return // the loop below, further up the stack, takes it
+	}
+	for i := 0; i < len(d.events); i++ {
+		actions := d.router.Handle(d.now(), &d.events[i], d.actions[:0])
+		for _, a := range actions {
+			d.carryOut(a)
+		}
+		d.actions = actions
+	}
+	clear(d.events)
+	d.events = d.events[:0]
+}
+
+func (d *Dispatcher) carryOut(a logic.Action) {
+	switch a.Kind {
+	case logic.Wake:
+		d.after(a.After, func() { d.route(logic.Event{Kind: logic.TimerFired, Tag: a.Tag}) })
+		return
+	case logic.Watch: // discovery is watched all the time
+		return
+	case logic.Release:
+		d.release(a.RequestID)
+		return
+	}
+	r := d.requests[a.RequestID]
+	if r == nil {
+		return
+	}
+	switch a.Kind {
+	case logic.Send:
+		d.send(r, a)
+	case logic.Cancel:
+		if at := r.out[a.Attempt]; at != nil {
+			at.cancel()
+		}
+	case logic.Refuse:
+		d.answer(r, Answer{Verdict: Refused, After: a.After, Reason: "no replica can serve it in time"})
+		d.settle(r)
+	case logic.Fail:
+		d.answer(r, Answer{Verdict: Failed, Reason: "it may have run, and no answer came"})
+		d.settle(r)
+	}
+}
+
+// answer gives the one final answer; a second one is dropped. A refusal says that trying again is harmless, so
+// where that is not proven the answer is a failure, whatever the module decided.
+func (d *Dispatcher) answer(r *request, a Answer) {
+	if r.answered {
+		return
+	}
+	if a.Verdict == Refused && r.class != nil && r.class.Repeat == logic.Unsafe && r.mayRun() {
+		a.Verdict = Failed
+	}
+	r.answered, r.verdict = true, a.Verdict
+	d.Counts.answered(r, a)
+	r.ticket.answer <- a // there is room for the one answer
+}
+
+// mayRun tells whether any attempt has run, or may have, or may yet.
+func (r *request) mayRun() bool {
+	for _, at := range r.out {
+		if at.role != logic.Reader {
+			return true
+		}
+	}
+	return r.ran
+}
--- /dev/null
+++ b/internal/dispatch/send.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"time"
+
+	"standpulley/logic"
+)
+
+// attempt is one send of a request. Its transport reports to it from goroutines of its own.
+type attempt struct {
+	d       *Dispatcher
+	r       *request
+	n       int
+	server  string
+	role    logic.Role
+	sentAt  time.Time
+	out     Attempt
+	given   bool // its stream was handed to the client
+	dropped bool // given up: its stream is no longer wanted
+}
+
+// send makes an attempt, unless a rule forbids it: then it ends at once as not sent.
+func (d *Dispatcher) send(r *request, a logic.Action) {
+	at := &attempt{d: d, r: r, n: r.sent, server: a.Server, sentAt: d.clock()}
+	r.sent++
+	s := d.servers[a.Server]
+	if s == nil || s.Availability != logic.Ready || r.answered || !d.mayRepeat(r) {
+		d.Counts.ended(logic.NotSent)
+		d.route(logic.Event{Kind: logic.Ended, RequestID: r.id, Server: a.Server, Attempt: at.n,
+			Outcome: logic.NotSent, Over: r.answered})
+		return
+	}
+	for _, k := range d.set.Kinds {
+		if k.Name == s.Kind {
+			at.role = k.Role
+		}
+	}
+	until := r.deadline
+	if t := time.Unix(0, int64(a.Until)); a.Until > 0 && t.Before(until) {
+		until = t
+	}
+	r.out[at.n] = at
+	d.Counts.sent()
+	at.out = r.parcel.Send(Target{Server: s.ID, Addr: s.Addr, Until: until}, at)
+}
+
+// mayRepeat holds the rule on repeats: a request that must not run twice goes out again only when every earlier
+// attempt is proven never to have run, and none is out.
+func (d *Dispatcher) mayRepeat(r *request) bool {
+	if r.sent > d.set.MaxAttempts {
+		return false
+	}
+	return r.class.Repeat != logic.Unsafe || len(r.out) == 0 && !r.ran
+}
+
+// cancel gives an attempt up, unless its stream belongs to the client already.
+func (at *attempt) cancel() {
+	if !at.given && !at.dropped {
+		at.dropped = true
+		at.out.Cancel()
+	}
+}
+
+func (d *Dispatcher) cancelAll(r *request) {
+	for _, at := range r.out {
+		at.cancel()
+	}
+}
--- /dev/null
+++ b/internal/dispatch/take.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"time"
+
+	"standpulley/logic"
+)
+
+// Request is what a front hands in.
+type Request struct {
+	ID       string
+	Ask      logic.Request
+	Received time.Time // when its last byte came: its deadline counts from here
+	Parcel   Parcel
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served  Verdict = iota // Stream is the answer
+	Refused                // trying again is harmless
+	Failed                 // nothing is promised: it may have run
+	Left                   // the client left before any of these; nobody is told
+)
+
+func (v Verdict) String() string { return [...]string{"served", "refused", "failed", "left"}[v] }
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Verdict Verdict
+	After   time.Duration // with Refused: the client should not come back sooner
+	Reason  string        // for people
+	Stream  Stream        // with Served
+}
+
+// Ticket stands for a request that was taken. Exactly one Answer comes.
+type Ticket struct {
+	d        *Dispatcher
+	r        *request
+	answer   chan Answer
+	finished chan struct{}
+}
+
+// Answer gives the channel on which the one final answer comes.
+func (t *Ticket) Answer() <-chan Answer { return t.answer }
+
+// Leave says that the client has gone. The answer still comes: Left, or what was decided before.
+func (t *Ticket) Leave() { t.d.post(departure{t.r}) }
+
+// Finish says that the front has passed the answer on, or could not. The caller owes it after every Answer.
+func (t *Ticket) Finish() {
+	close(t.finished)
+	t.d.Phases.end()
+}
+
+// Finished is closed by Finish.
+func (t *Ticket) Finished() <-chan struct{} { return t.finished }
+
+// Take hands in a request.
+func (d *Dispatcher) Take(q Request) *Ticket {
+	t := &Ticket{d: d, answer: make(chan Answer, 1), finished: make(chan struct{})}
+	t.r = &request{id: q.ID, ask: q.Ask, received: q.Received, parcel: q.Parcel, ticket: t}
+	d.Phases.begin()
+	d.post(arrival{t.r})
+	return t
+}
+
+type arrival struct{ r *request }
+
+func (a arrival) apply(d *Dispatcher) { d.admit(a.r) }
--- /dev/null
+++ b/internal/front/conn.go
@@ -0,0 +1,196 @@
+// Package front holds what the fronts have in common: the listener, a watch for clients that leave, and the
+// relay of a stream. The wires themselves are in its subpackages.
+package front
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"standpulley/internal/dispatch"
+)
+
+// Listener hands out connections that can be watched while a handler waits.
+type Listener struct {
+	net.Listener
+	mu     sync.Mutex
+	ending bool
+}
+
+// Accept waits for a connection; at the listener's end it says io.EOF, which fasthttp takes as a plain stop.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.ending {
+			return nil, io.EOF
+		}
+		return nil, err
+	}
+	return &Conn{Conn: c}, nil
+}
+
+// Finish accepts what the machine has accepted already, and then nothing more.
+func (l *Listener) Finish(wait time.Duration) {
+	l.mu.Lock()
+	l.ending = true
+	l.mu.Unlock()
+	if t, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = t.SetDeadline(time.Now().Add(wait)) // without it the close below comes a little sooner
+	}
+	time.Sleep(wait)
+}
+
+// Conn is a client's connection. fasthttp does not notice a client that leaves while a handler runs; Watch does.
+type Conn struct {
+	net.Conn
+	ahead    [1]byte // a byte that the watch has read
+	hasAhead bool
+}
+
+// Read gives back first what a watch has read.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.hasAhead && len(p) > 0 {
+		p[0], c.hasAhead = c.ahead[0], false
+		return 1, nil
+	}
+	return c.Conn.Read(p)
+}
+
+// Write gives each write a time of its own: a stream may go on for long, but a client that takes nothing has gone.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Watch calls gone once if the client ends the connection before stop is called. Nothing else may read the
+// connection in between. After stop has returned, gone is not called any more.
+func (c *Conn) Watch(gone func()) (stop func()) {
+	if c.hasAhead {
+		return func() {}
+	}
+	done := make(chan struct{})
+	var mu sync.Mutex
+	stopped := false
+	_ = c.Conn.SetReadDeadline(time.Time{}) // the server's, for the request that has been read
+	go func() {
+		defer close(done)
+		n, err := c.Conn.Read(c.ahead[:])
+		mu.Lock()
+		defer mu.Unlock()
+		if n == 1 {
+			c.hasAhead = true // the next request, early; the client is there
+		} else if err != nil && !stopped {
+			gone()
+		}
+	}()
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			mu.Lock()
+			stopped = true
+			mu.Unlock()
+			_ = c.Conn.SetReadDeadline(time.Now().Add(-time.Second)) // wakes the read
+			<-done
+			_ = c.Conn.SetReadDeadline(time.Time{})
+		})
+	}
+}
+
+// Await waits for the answer to a ticket. A client that leaves meanwhile ends the request. While a stream is
+// relayed the watch goes on until stop is called.
+func Await(ctx *fasthttp.RequestCtx, t *dispatch.Ticket) (a dispatch.Answer, stop func()) {
+	stop = func() {}
+	left := make(chan struct{})
+	if c, ok := ctx.Conn().(*Conn); ok {
+		stop = c.Watch(func() { close(left) })
+	}
+	select {
+	case a = <-t.Answer():
+	case <-left:
+		t.Leave()
+		a = <-t.Answer()
+	}
+	if a.Stream == nil {
+		stop()
+		t.Finish()
+		return a, stop
+	}
+	s := a.Stream
+	go func() { // a client that leaves during the stream closes it, also while no event comes
+		select {
+		case <-left:
+			s.Close()
+		case <-t.Finished():
+		}
+	}()
+	return a, stop
+}
+
+// Body relays a stream as fasthttp reads it: each piece is flushed as it comes. If the stream is not whole, Read
+// returns an error and fasthttp closes the connection without the last chunk.
+type Body struct {
+	Stream dispatch.Stream
+	Ticket *dispatch.Ticket
+	Stop   func() // ends the watch
+	rest   []byte
+}
+
+func (b *Body) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		piece, err := b.Stream.Next()
+		if err != nil {
+			return 0, err
+		}
+		b.rest = piece
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// Close is called by fasthttp when the answer is written, or can't be.
+func (b *Body) Close() error {
+	b.Stop()
+	b.Stream.Close()
+	b.Ticket.Finish()
+	return nil
+}
+
+// NewServer makes the server of a front within its bounds.
+func NewServer(handler fasthttp.RequestHandler, conns, maxBody int) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, Concurrency: conns, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout,
+		IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		CloseOnShutdown: true, ReadBufferSize: 8 << 10, WriteBufferSize: 4 << 10, ErrorHandler: malformed,
+	}
+}
+
+// malformed answers what could not be read as a request.
+func malformed(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var late net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		ctx.Error("the body is too large", fasthttp.StatusRequestEntityTooLarge)
+	case errors.As(err, &small):
+		ctx.Error("the header is too large", fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errors.As(err, &late) && late.Timeout():
+		ctx.Error("the request did not come in time", fasthttp.StatusRequestTimeout)
+	default:
+		ctx.Error("malformed request", fasthttp.StatusBadRequest)
+	}
+}
+
+const (
+	readTimeout  = 10 * time.Second // for a request, from its first byte to its last
+	idleTimeout  = 2 * time.Minute  // between requests
+	writeTimeout = 15 * time.Second // a client that takes nothing for so long has gone
+)
--- /dev/null
+++ b/internal/front/platform/platform.go
@@ -0,0 +1,185 @@
+// Package platform is the front for the platform's protocol: it reads a request's headers into the core's form
+// and writes the one final answer. It decides nothing.
+package platform
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"standpulley/internal/dispatch"
+	"standpulley/internal/front"
+	"standpulley/internal/replica"
+	"standpulley/logic"
+)
+
+const (
+	maxBody   = 256 << 10
+	maxTokens = 1 << 40
+	tokenSize = 4 // characters
+	maxWait   = time.Hour
+)
+
+// Front serves the platform's clients.
+type Front struct {
+	core    *dispatch.Dispatcher
+	pool    *replica.Pool
+	classes map[string]logic.Class
+}
+
+// New makes the front of a core; its requests travel by the pool.
+func New(core *dispatch.Dispatcher, pool *replica.Pool) *Front {
+	f := &Front{core: core, pool: pool, classes: map[string]logic.Class{}}
+	for _, c := range core.Settings().Classes {
+		f.classes[c.Name] = c
+	}
+	return f
+}
+
+// Server gives the front's server, for at most conns connections.
+func (f *Front) Server(conns int) *fasthttp.Server { return front.NewServer(f.serve, conns, maxBody) }
+
+func (f *Front) serve(ctx *fasthttp.RequestCtx) {
+	received := time.Now()
+	if f.core.Phases.Now() >= dispatch.Draining {
+		ctx.SetConnectionClose()
+	}
+	switch string(ctx.Path()) {
+	case "/-/ready":
+		if f.core.Phases.Now() != dispatch.Ready {
+			ctx.Error(f.core.Phases.Now().String(), fasthttp.StatusServiceUnavailable)
+		}
+		return
+	case "/v1/chat/completions":
+	default:
+		ctx.Error("no such path", fasthttp.StatusNotFound)
+		return
+	}
+	if !ctx.IsPost() {
+		ctx.Error("POST is wanted", fasthttp.StatusMethodNotAllowed)
+		return
+	}
+	q, err := f.request(&ctx.Request)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	q.Received = received
+	t := f.core.Take(q)
+	a, stop := front.Await(ctx, t)
+	f.answer(ctx, t, a, stop)
+}
+
+// answer writes the final answer: a stream as it comes, a refusal with the time to come back, else a failure.
+func (f *Front) answer(ctx *fasthttp.RequestCtx, t *dispatch.Ticket, a dispatch.Answer, stop func()) {
+	switch a.Verdict {
+	case dispatch.Served:
+		ctx.SetContentType("text/event-stream")
+		ctx.Response.SetBodyStream(&front.Body{Stream: a.Stream, Ticket: t, Stop: stop}, -1)
+	case dispatch.Refused:
+		ctx.Error(a.Reason, fasthttp.StatusServiceUnavailable)
+		front.RetryAfter(ctx, a.After)
+	case dispatch.Failed:
+		ctx.Error(a.Reason, fasthttp.StatusBadGateway)
+	case dispatch.Left:
+		ctx.SetConnectionClose()
+	}
+}
+
+// request reads what a client sent into the core's form. An error names the header at fault.
+func (f *Front) request(in *fasthttp.Request) (dispatch.Request, error) {
+	q := dispatch.Request{ID: string(in.Header.Peek("X-Trace-Id"))}
+	ask := &q.Ask
+	if !front.ValidID(q.ID) {
+		return q, fmt.Errorf("X-Trace-Id: %q is not an id", q.ID)
+	}
+	ask.Class = string(in.Header.Peek("X-Qos"))
+	class, ok := f.classes[ask.Class]
+	if !ok {
+		return q, fmt.Errorf("X-Qos: %q is not a class", ask.Class)
+	}
+	var err error
+	if ask.Remaining, err = expiry(string(in.Header.Peek("X-Expires-In")), class.Deadline); err != nil {
+		return q, fmt.Errorf("X-Expires-In: %w", err)
+	}
+	if ask.Session, err = key(string(in.Header.Peek("X-Object"))); err != nil {
+		return q, fmt.Errorf("X-Object: %w", err)
+	}
+	ask.Tenant = string(in.Header.Peek("X-Customer"))
+	ask.PromptTokens = int64(len(in.Body()) / tokenSize) // where no length is told
+	if err := props(string(in.Header.Peek("X-Props")), ask); err != nil {
+		return q, fmt.Errorf("X-Props: %w", err)
+	}
+	ask.Again = string(in.Header.Peek("X-Second-Try")) == "1"
+	parcel := &replica.Parcel{Pool: f.pool, ID: q.ID, Method: string(in.Header.Method()),
+		URI: string(in.RequestURI()), Host: string(in.Header.Host()), Body: append([]byte(nil), in.Body()...)}
+	for _, name := range []string{"Content-Type", "X-Qos", "X-Object", "X-Customer", "X-Props", "X-Second-Try"} {
+		if v := in.Header.Peek(name); len(v) > 0 {
+			parcel.Headers = append(parcel.Headers, [2]string{name, string(v)})
+		}
+	}
+	q.Parcel = parcel
+	return q, nil
+}
+
+// expiry reads a number and its unit; where none is told the class's deadline holds.
+func expiry(text string, without time.Duration) (time.Duration, error) {
+	if text == "" {
+		return without, nil
+	}
+	unit, ok := map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}[text[len(text)-1]]
+	v, err := strconv.ParseFloat(text[:len(text)-1], 64)
+	if !ok || err != nil || math.IsNaN(v) || v <= 0 {
+		return 0, fmt.Errorf("%q is not a number and a unit, m or u", text)
+	}
+	return time.Duration(min(v*float64(unit), float64(maxWait))), nil
+}
+
+func key(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	v, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a key of hex digits", text)
+	}
+	return v, nil
+}
+
+func props(text string, ask *logic.Request) error {
+	for text != "" {
+		var part string
+		part, text, _ = strings.Cut(text, ",")
+		name, val, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok {
+			return fmt.Errorf("%q is not name=value", part)
+		}
+		var err error
+		switch name {
+		case "prefix":
+			ask.Prefix, err = key(val)
+		case "prompt_len":
+			ask.PromptTokens, err = tokens(val)
+		case "prefix_len":
+			ask.PrefixTokens, err = tokens(val)
+		case "max_out":
+			ask.MaxOutput, err = tokens(val)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func tokens(text string) (int64, error) {
+	v, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || v < 0 || v > maxTokens {
+		return 0, fmt.Errorf("%q is not a length in tokens", text)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/replica/attempt.go
@@ -0,0 +1,279 @@
+package replica
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+	"github.com/valyala/fasthttp"
+
+	"standpulley/internal/dispatch"
+	"standpulley/logic"
+)
+
+const (
+	headerID       = "X-Trace-Id"
+	headerExpires  = "X-Expires-In"
+	headerNeverRan = "X-Never-Ran"
+
+	// A client may wait for at most 5 s after the last event of a stream that is not whole.
+	stallLimit  = 4 * time.Second
+	smallAnswer = 64 << 10 // bodies other than streams
+	piece       = 32 << 10 // of a stream, at most so much at once
+)
+
+// Parcel is a request on its way to replicas: method, path, query, body and id pass on unchanged.
+type Parcel struct {
+	Pool    *Pool
+	ID      string
+	Method  string
+	URI     string // path and query
+	Host    string
+	Headers [][2]string // further ones
+	Body    []byte
+}
+
+// Send starts an attempt.
+func (p *Parcel) Send(to dispatch.Target, tell dispatch.Report) dispatch.Attempt {
+	ctx, cancel := context.WithDeadline(context.Background(), to.Until)
+	a := &attempt{p: p, to: to, tell: tell, ctx: ctx, cancel: cancel}
+	go a.run()
+	return a
+}
+
+// attempt is one send. It goes through connecting, writing, waiting and, where an answer begins, streaming.
+type attempt struct {
+	p      *Parcel
+	to     dispatch.Target
+	tell   dispatch.Report
+	ctx    context.Context // ends at the attempt's time, or when it is given up
+	cancel context.CancelFunc
+	c      *conn
+	resp   fasthttp.Response
+	unhook func() bool
+
+	mu     sync.Mutex
+	lifted bool // the attempt is the client's: its time no longer runs
+}
+
+// interrupt wakes what waits on the connection.
+func (a *attempt) interrupt() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.lifted {
+		_ = a.c.SetDeadline(time.Now().Add(-time.Second)) // on a connection that is closed there is none to wake
+	}
+}
+
+// lift takes the attempt's time off its connection.
+func (a *attempt) lift() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lifted = true
+	_ = a.c.SetDeadline(time.Time{}) // a failure shows in the next read
+}
+
+// Cancel gives the attempt up by closing its connection.
+func (a *attempt) Cancel() { a.cancel() }
+
+func (a *attempt) run() {
+	res, stream := a.exchange()
+	if stream != nil {
+		a.tell.Began(stream) // its holder ends the attempt
+		return
+	}
+	a.cancel()
+	a.tell.Ended(res)
+}
+
+// exchange takes the attempt to its outcome, or to the first event of its answer.
+func (a *attempt) exchange() (dispatch.Result, *stream) {
+	c, err := a.p.Pool.get(a.ctx, a.to.Addr)
+	if err != nil {
+		return a.failed(logic.ConnectFailed, err), nil
+	}
+	a.c = c
+	_ = c.SetDeadline(a.to.Until) // a failure shows in the write
+	a.unhook = context.AfterFunc(a.ctx, a.interrupt)
+	if err := a.write(); err != nil {
+		a.hangUp()
+		return a.failed(logic.ConnectFailed, err), nil // the last byte was not written: it can't have run
+	}
+	a.resp.StreamBody = true
+	if err := a.resp.ReadLimitBody(c.br, 0); err != nil {
+		a.hangUp()
+		return a.failed(logic.ConnectionLost, err), nil
+	}
+	body := a.resp.BodyStream()
+	if a.resp.StatusCode() == fasthttp.StatusOK {
+		s := &stream{a: a, body: body, buf: make([]byte, piece)}
+		n, err := body.Read(s.buf)
+		if n == 0 && err != nil {
+			a.hangUp()
+			return a.failed(logic.ConnectionLost, err), nil
+		}
+		s.first, s.err = n, err
+		return dispatch.Result{}, s
+	}
+	return a.answered(body), nil
+}
+
+// write sends the request. Without an error the last byte has been handed to the network.
+func (a *attempt) write() error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.DisableNormalizing()
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.SetMethod(a.p.Method)
+	req.SetRequestURI(a.p.URI)
+	req.URI().DisablePathNormalizing = true
+	req.Header.SetHost(a.p.Host)
+	for _, h := range a.p.Headers {
+		req.Header.Set(h[0], h[1])
+	}
+	req.Header.Set(headerID, a.p.ID)
+	req.Header.Set(headerExpires, strconv.FormatInt(max(time.Until(a.to.Until).Microseconds(), 1), 10)+"u")
+	req.SetBodyRaw(a.p.Body)
+	bw := bufio.NewWriterSize(a.c, writeBuffer)
+	if err := req.Write(bw); err != nil {
+		return err
+	}
+	return bw.Flush()
+}
+
+// failed says how an attempt ended that brought no answer: what broke, or that its time was over. What never
+// left for reasons of our own tells nothing of the replica.
+func (a *attempt) failed(as logic.Outcome, err error) dispatch.Result {
+	cancelled := errors.Is(a.ctx.Err(), context.Canceled)
+	switch {
+	case as == logic.ConnectFailed && (cancelled || errors.Is(err, errNoRoom)):
+		as = logic.NotSent
+	case as == logic.ConnectFailed:
+	case cancelled:
+		as = logic.Cancelled
+	case a.ctx.Err() != nil || isTimeout(err):
+		as = logic.TimedOut
+	}
+	return dispatch.Result{Outcome: as, Detail: err.Error()}
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &t) && t.Timeout()
+}
+
+// answered reads an answer that is no stream and gives back the connection.
+func (a *attempt) answered(body io.Reader) dispatch.Result {
+	status := a.resp.StatusCode()
+	res := dispatch.Result{Outcome: logic.ServerError, Detail: strconv.Itoa(status)}
+	never := string(a.resp.Header.Peek(headerNeverRan)) == "1"
+	switch {
+	case status == fasthttp.StatusAccepted:
+		res.Outcome = logic.ReadDone
+	case status == fasthttp.StatusGone && never:
+		res.Outcome, res.NoState = logic.Full, true
+	case (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusGatewayTimeout) && never:
+		res.Outcome = logic.Full
+	}
+	var text []byte
+	var err error
+	if body != nil {
+		text, err = io.ReadAll(io.LimitReader(body, smallAnswer))
+	}
+	if res.Outcome == logic.ReadDone && err == nil {
+		var read struct {
+			CachedTokens int64 `json:"cached_tokens"`
+		}
+		if jsoniter.Unmarshal(text, &read) == nil { // without the count nothing was found kept
+			res.Tokens = read.CachedTokens
+		}
+	}
+	a.handBack(err == nil && len(text) < smallAnswer)
+	return res
+}
+
+// handBack ends the attempt's use of its connection. A connection is used again only if its answer was read to
+// the end and neither side wants it closed.
+func (a *attempt) handBack(whole bool) {
+	if whole && a.unhook() && !a.resp.ConnectionClose() {
+		a.p.Pool.put(a.c)
+		return
+	}
+	a.hangUp()
+}
+
+func (a *attempt) hangUp() {
+	a.unhook()
+	a.p.Pool.drop(a.c)
+}
+
+// stream is an answer that has begun.
+type stream struct {
+	a     *attempt
+	body  io.Reader
+	buf   []byte
+	first int   // bytes of buf that were read already
+	err   error // that came with them
+
+	mu   sync.Mutex
+	over bool
+}
+
+var errStalled = fmt.Errorf("no event for %v", stallLimit)
+
+// Next gives the next bytes as they come. A live stream is never cut: only silence ends it.
+func (s *stream) Next() ([]byte, error) {
+	if s.first > 0 {
+		n := s.first
+		s.first = 0
+		s.a.lift()
+		return s.buf[:n], nil
+	}
+	if s.err == nil {
+		var n int
+		_ = s.a.c.SetReadDeadline(time.Now().Add(stallLimit)) // a failure shows in the read
+		n, s.err = s.body.Read(s.buf)
+		if n > 0 {
+			return s.buf[:n], nil
+		}
+	}
+	if s.err == io.EOF {
+		s.end(dispatch.Result{Outcome: logic.Delivered}, true)
+		return nil, io.EOF
+	}
+	err := s.err
+	if isTimeout(err) {
+		err = errStalled
+	}
+	s.end(dispatch.Result{Outcome: logic.ConnectionLost, Detail: err.Error()}, false)
+	return nil, err
+}
+
+// Close gives up a stream that is not read to its end.
+func (s *stream) Close() {
+	s.end(dispatch.Result{Outcome: logic.Cancelled, Detail: "stream closed"}, false)
+}
+
+func (s *stream) end(res dispatch.Result, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over {
+		return
+	}
+	s.over = true
+	if whole && !s.a.resp.ConnectionClose() {
+		s.a.unhook()
+		s.a.p.Pool.put(s.a.c)
+	} else {
+		s.a.hangUp()
+	}
+	s.a.cancel()
+	s.a.tell.Ended(res)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -12,6 +13,7 @@
 	"strings"
 	"time"
 
+	"standpulley/internal/config"
 	"standpulley/logic"
 )
 
@@ -388,6 +390,24 @@
 	m.Event.Servers = r.pools[ref]
 }
 
+func (r *Reader) attach(f *fields, m *Message) {
+	val := config.Values{}
+	for f.next() {
+		switch f.name {
+		case "salt":
+			m.Seed = uint64(f.int())
+		default:
+			val[f.name] = string(f.val)
+			m.common(f)
+		}
+	}
+	var fault *config.Fault
+	var err error
+	if m.Settings, err = config.Settings(val); errors.As(err, &fault) {
+		f.fail(fault.Key, fault.Text)
+	}
+}
+
 func (r *Reader) arrived(f *fields, m *Message) {
 	m.Event.Kind = logic.Arrived
 	q := &m.Event.Request
--- a/logic/api.go
+++ b/logic/api.go
@@ -87,6 +87,14 @@
 	FallMultiple   float64       // sent more than this multiple of its capacity
 	FallTime       time.Duration // for this long, it falls over
 	AskEvery       time.Duration // ask for the list no less often, where it must be asked
+
+	// What follows binds the host that carries out the actions; no decision reads it.
+	DrainGrace     time.Duration // a draining or gone server gets nothing new later than this
+	AnswerSlack    time.Duration // a final answer counts until so long after the deadline
+	ConnIdle       time.Duration // a server closes a connection that has stood idle for this long
+	ConnectTimeout time.Duration // a connection that is not up by then has failed
+	MaxOpen        int           // requests open at once; 0 = no limit told
+	Resume         bool          // clients ask for the rest of a stream that broke
 }
 
 // EventKind names what has happened.
