Add the chat front with its loopback stories, and send a Host header to replicas

Cause: in replica.attempt.write, req.URI() made fasthttp take the host from the parsed URI, which had none, so requests went out without Host. Ruled out: the pool (connections were fresh) and the stand-in's script (never reached). The URI is now set on the header as it is, unparsed. Refusals always carry Retry-After, at least 0.1 s: without one a library came at once.

--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"standpulley/logic"
 )
 
@@ -22,6 +24,9 @@
 	d.events = d.events[:0]
 }
 
+// refusedAfter is the advice to a refused client where the module gives none: without any it would come at once.
+const refusedAfter = 100 * time.Millisecond
+
 func (d *Dispatcher) carryOut(a logic.Action) {
 	switch a.Kind {
 	case logic.Wake:
@@ -59,9 +64,13 @@
 	if r.answered {
 		return
 	}
-	if a.Verdict == Refused && r.class != nil && r.class.Repeat == logic.Unsafe && r.mayRun() {
+	a.MayRun = r.mayRun()
+	if a.Verdict == Refused && r.class != nil && r.class.Repeat == logic.Unsafe && a.MayRun {
 		a.Verdict = Failed
 	}
+	if a.Verdict == Refused { // a refusal always says when to come back
+		a.After = max(a.After, refusedAfter)
+	}
 	r.answered, r.verdict = true, a.Verdict
 	d.Counts.answered(r, a)
 	r.ticket.answer <- a // there is room for the one answer
--- a/internal/dispatch/take.go
+++ b/internal/dispatch/take.go
@@ -32,6 +32,7 @@
 	Verdict Verdict
 	After   time.Duration // with Refused: the client should not come back sooner
 	Reason  string        // for people
+	MayRun  bool          // an attempt has run, may have, or may yet
 	Stream  Stream        // with Served
 }
 
--- /dev/null
+++ b/internal/front/chat/chat_test.go
@@ -0,0 +1,323 @@
+package chat
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"standpulley/internal/dispatch"
+	"standpulley/internal/front/platform"
+	"standpulley/internal/fronttest"
+	"standpulley/internal/standin"
+)
+
+var options = Options{Models: map[string]string{"ask": "enquiry", "act": "instruction"}, MaxOutput: 400}
+
+func start(t *testing.T, read func(*standin.Exchange), writes ...func(*standin.Exchange)) (*fronttest.Rig, string) {
+	t.Helper()
+	rig := fronttest.Start(t, read, writes...)
+	f, err := New(rig.Core, rig.Pool, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rig, rig.Serve(t, f.Server(32))
+}
+
+// sdk is a client as members' applications use it, with its retries as they are by default.
+func sdk(addr string, more ...option.RequestOption) *openai.Client {
+	c := openai.NewClient(append([]option.RequestOption{option.WithBaseURL("http://" + addr + "/v1"),
+		option.WithAPIKey("none")}, more...)...)
+	return &c
+}
+
+func params(model string) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{Model: model, Messages: []openai.ChatCompletionMessageParamUnion{
+		openai.SystemMessage("You serve the members of a credit union."), openai.UserMessage("Pay the light bill.")}}
+}
+
+// post sends a request by hand.
+func post(t *testing.T, addr, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequest("POST", "http://"+addr+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil && resp.StatusCode != http.StatusOK {
+		t.Fatal(err)
+	}
+	if err != nil {
+		text = append(text, "(cut)"...)
+	}
+	return resp, string(text)
+}
+
+// first plays one script once and the other from then on, whichever replica is asked.
+func first(once, then func(*standin.Exchange)) func(*standin.Exchange) {
+	var played atomic.Bool
+	return func(x *standin.Exchange) {
+		if played.CompareAndSwap(false, true) {
+			once(x)
+		} else {
+			then(x)
+		}
+	}
+}
+
+func one(model string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%v,"messages":[{"role":"user","content":"hello"}]}`, model, stream)
+}
+
+func TestStreamedAnswerComesWholeAndUnchanged(t *testing.T) {
+	rig, addr := start(t, fronttest.Read, func(x *standin.Exchange) { x.Answer("light ", "bill ", "paid") })
+	s := sdk(addr).Chat.Completions.NewStreaming(context.Background(), params("act"))
+	text := ""
+	for s.Next() {
+		for _, c := range s.Current().Choices {
+			text += c.Delta.Content
+		}
+	}
+	if s.Err() != nil || text != "light bill paid" {
+		t.Errorf("got %q, %v", text, s.Err())
+	}
+	call := rig.Writers[0].Calls("POST")[0]
+	if call.Header["X-Qos"] != "instruction" || !strings.Contains(call.Header["X-Props"], "prefix_len=10") ||
+		!strings.Contains(call.Header["X-Props"], "max_out=400") || call.Header["X-Object"] == "" {
+		t.Errorf("the replica was told %v", call.Header)
+	}
+	if resp, body := post(t, addr, one("ask", true)); resp.Header.Get("Content-Type") != "text/event-stream" ||
+		!strings.HasSuffix(body, "data: [DONE]\n\n") || strings.Count(body, "[DONE]") != 1 {
+		t.Errorf("%v: %q", resp.Header, body)
+	}
+}
+
+// Guards: replicas may end a whole stream without [DONE], which libraries of the API wait for.
+func TestDoneIsAddedWhereItLacks(t *testing.T) {
+	_, addr := start(t, fronttest.Read, func(x *standin.Exchange) {
+		x.Head()
+		x.Token("x")
+		_, _ = io.WriteString(x.Conn, "0\r\n\r\n")
+	})
+	if _, body := post(t, addr, one("ask", true)); !strings.HasSuffix(body, "data: [DONE]\n\n") {
+		t.Errorf("got %q", body)
+	}
+}
+
+func TestAnswerInOnePiece(t *testing.T) {
+	rig, addr := start(t, fronttest.Read, func(x *standin.Exchange) { x.Answer("a", "b") })
+	c, err := sdk(addr).Chat.Completions.New(context.Background(), params("ask"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Choices[0].Message.Content != "ab" || c.Choices[0].FinishReason != "stop" || c.Usage.PromptTokens != 8 || c.Object != "chat.completion" {
+		t.Errorf("got %s", c.RawJSON())
+	}
+	if body := rig.Writers[0].Calls("POST")[0].Body; !strings.Contains(body, `"stream":true`) {
+		t.Errorf("the replica was sent %s", body)
+	}
+	if page, err := sdk(addr).Models.List(context.Background()); err != nil || len(page.Data) != 2 {
+		t.Errorf("models: %v, %v", page, err)
+	}
+}
+
+// Guards: an instruction that may have run must not invite a retry; the library retries by itself what looks harmless.
+func TestInstructionThatMayHaveRunIsNotRetried(t *testing.T) {
+	for name, act := range map[string]func(*standin.Exchange){
+		"reset":    func(x *standin.Exchange) { x.Break() },
+		"error":    func(x *standin.Exchange) { x.Status(500, false, "") },
+		"cut off":  func(x *standin.Exchange) { x.Head(); x.Token("pa"); x.Break() },
+		"no words": func(x *standin.Exchange) { x.Status(503, false, "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			rig, addr := start(t, fronttest.Read, act, act)
+			_, err := sdk(addr).Chat.Completions.New(context.Background(), params("act"))
+			var e *openai.Error
+			if !errors.As(err, &e) || e.StatusCode != statusMayHaveRun || e.Code != "may_have_run" {
+				t.Errorf("got %v", err)
+			}
+			if n := rig.Runs(); n != 1 {
+				t.Errorf("it was sent to writers %d times", n)
+			}
+			if totals, _ := rig.Core.Counts.Snapshot(); totals.Taken != 1 {
+				t.Errorf("the library sent it %d times", totals.Taken)
+			}
+		})
+	}
+}
+
+// Guards: the library gives up by its own time and sends the instruction anew, while the first may be running.
+func TestInstructionAbandonedByItsClientIsNotRunAgain(t *testing.T) {
+	rig, addr := start(t, fronttest.Read, func(x *standin.Exchange) { x.Gone() })
+	_, err := sdk(addr, option.WithRequestTimeout(200*time.Millisecond)).Chat.Completions.New(context.Background(), params("act"))
+	if err == nil {
+		t.Error("it was answered")
+	}
+	fronttest.Wait(t, "the first try to end", func() bool { return rig.Verdicts(dispatch.Left)+rig.Verdicts(dispatch.Failed) == 1 })
+	if n := rig.Runs(); n != 1 {
+		t.Errorf("it was sent to writers %d times", n)
+	}
+}
+
+// Guards: a client that drops mid-stream during an instruction: one final outcome, the attempt is given up, and
+// nothing more goes out, also when its library comes again.
+func TestClientDropsMidStreamDuringAnInstruction(t *testing.T) {
+	gone := make(chan bool, 1)
+	act := first(func(x *standin.Exchange) {
+		x.Head()
+		x.Token("half")
+		x.Gone()
+		gone <- true
+	}, func(x *standin.Exchange) { x.Answer("twice!") })
+	rig, addr := start(t, fronttest.Read, act, act)
+	rig.Pool.Stall = 30 * time.Second // what ends the attempt is the client
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := one("act", true)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k1\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+	br := bufio.NewReader(c)
+	for line := ""; !strings.Contains(line, "data:"); {
+		if line, err = br.ReadString('\n'); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = c.Close()
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second):
+		t.Error("the attempt goes on without its client")
+	}
+	if resp, text := post(t, addr, body, "Idempotency-Key", "k1"); resp.StatusCode != statusMayHaveRun || resp.Header.Get("X-Should-Retry") != "false" {
+		t.Errorf("the repeat got %d %s", resp.StatusCode, text)
+	}
+	if n := rig.Runs(); n != 1 || rig.Verdicts(dispatch.Served) != 1 {
+		t.Errorf("%d sends to writers, %d served", n, rig.Verdicts(dispatch.Served))
+	}
+}
+
+// Guards: a stand-in that stalls after the first event: the client is not left waiting, the stream does not pass
+// for a whole one, and nothing is sent again.
+func TestReplicaStallsAfterTheFirstEvent(t *testing.T) {
+	for _, model := range []string{"ask", "act"} {
+		stall := func(x *standin.Exchange) { x.Head(); x.Token("half"); x.Gone() }
+		rig, addr := start(t, fronttest.Read, stall, stall)
+		from := time.Now()
+		_, body := post(t, addr, one(model, true))
+		if !strings.Contains(body, "half") || !strings.Contains(body, "stream_broken") || !strings.HasSuffix(body, "(cut)") ||
+			strings.Contains(body, "[DONE]") {
+			t.Errorf("%s: got %q", model, body)
+		}
+		if took := time.Since(from); took > 3*time.Second {
+			t.Errorf("%s: the client waited %v", model, took)
+		}
+		if n := rig.Runs(); n != 1 {
+			t.Errorf("%s: %d sends to writers", model, n)
+		}
+	}
+}
+
+// Guards: an enquiry may be repeated, and its client sees nothing of it.
+func TestEnquiryIsSentAgain(t *testing.T) {
+	act := first(func(x *standin.Exchange) { x.Break() }, func(x *standin.Exchange) { x.Answer("ok") })
+	rig, addr := start(t, fronttest.Read, act, act)
+	c, err := sdk(addr, option.WithMaxRetries(0)).Chat.Completions.New(context.Background(), params("ask"))
+	if err != nil || c.Choices[0].Message.Content != "ok" {
+		t.Errorf("got %v, %v", c, err)
+	}
+	if rig.Runs() != 2 || rig.Verdicts(dispatch.Served) != 1 {
+		t.Errorf("%d sends, %d served", rig.Runs(), rig.Verdicts(dispatch.Served))
+	}
+}
+
+// Guards: a refusal proves that nothing ran: it tells when to come back, and an instruction may come again.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	full := func(x *standin.Exchange) { x.Status(503, true, "") }
+	rig, addr := start(t, fronttest.Read, full)
+	resp, body := post(t, addr, one("act", false))
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || resp.Header.Get("X-Should-Retry") != "true" ||
+		!strings.Contains(body, `"code":"overloaded"`) || !strings.Contains(body, `"type":"server_error"`) {
+		t.Errorf("%d %v %s", resp.StatusCode, resp.Header, body)
+	}
+	if resp, _ := post(t, addr, one("act", false), "X-Stainless-Retry-Count", "1"); resp.StatusCode != 503 {
+		t.Errorf("its repeat got %d", resp.StatusCode)
+	}
+	fronttest.Wait(t, "the release of what was read", func() bool {
+		return len(rig.Reader.Calls("DELETE"))+len(rig.Writers[0].Calls("DELETE")) >= 1
+	})
+}
+
+// Guards: what a client gets wrong is told in the API's words and never reaches a replica.
+func TestBadInput(t *testing.T) {
+	rig, addr := start(t, fronttest.Read, func(x *standin.Exchange) { x.Answer("x") })
+	for body, want := range map[string]string{
+		`{`:            `400 invalid_json`,
+		`{"model":7}`:  `400 invalid_json`,
+		`{"model":""}`: `400 invalid_value`,
+		`{"model":"none","messages":[{"role":"user","content":"x"}]}`:                `404 model_not_found`,
+		`{"model":"ask","messages":[]}`:                                              `400 invalid_value`,
+		`{"model":"ask","messages":[{"role":"ghost","content":"x"}]}`:                `400 invalid_value`,
+		`{"model":"ask","messages":[{"role":"user","content":7}]}`:                   `400 invalid_value`,
+		`{"model":"ask","n":2,"messages":[{"role":"user","content":"x"}]}`:           `400 invalid_value`,
+		`{"model":"ask","max_tokens":-1,"messages":[{"role":"user","content":"x"}]}`: `400 invalid_value`,
+		strings.Repeat("x", maxBody+1):                                               `413 invalid_request`,
+	} {
+		resp, text := post(t, addr, body)
+		status, code, _ := strings.Cut(want, " ")
+		if fmt.Sprint(resp.StatusCode) != status || !strings.Contains(text, `"code":"`+code+`"`) {
+			t.Errorf("%.60s: %d %s, want %s", body, resp.StatusCode, text, want)
+		}
+	}
+	if n := len(rig.Reader.Calls("")) + rig.Runs(); n != 0 {
+		t.Errorf("%d calls reached replicas", n)
+	}
+}
+
+// Guards: turns of a conversation share a session, conversations with the same opening share a prefix.
+func TestSessionAndOpening(t *testing.T) {
+	class := fronttest.Settings().Classes[0]
+	ask := func(text string) (session, prefix uint64) {
+		b, err := parse([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		q, err := b.ask(class, 10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return q.Session, q.Prefix
+	}
+	s1, p1 := ask(`{"model":"ask","messages":[{"role":"system","content":"open"},{"role":"user","content":"one"}]}`)
+	s2, p2 := ask(`{"model":"ask","messages":[{"role":"system","content":"open"},{"role":"user","content":[{"type":"text","text":"one"}]},{"role":"assistant","content":"a"},{"role":"user","content":"two"}]}`)
+	s3, p3 := ask(`{"model":"ask","messages":[{"role":"system","content":"open"},{"role":"user","content":"other"}]}`)
+	if s1 != s2 || s1 == s3 || p1 != p2 || p1 != p3 || p1 == 0 {
+		t.Errorf("sessions %x %x %x, openings %x %x %x", s1, s2, s3, p1, p2, p3)
+	}
+}
+
+func TestModelsMustNameClasses(t *testing.T) {
+	rig := fronttest.Start(t, fronttest.Read)
+	if _, err := New(rig.Core, rig.Pool, Options{Models: map[string]string{"m": "none"}}); err == nil || !strings.Contains(err.Error(), "chat.models.m") {
+		t.Errorf("got %v", err)
+	}
+	_ = platform.New(rig.Core, rig.Pool) // both fronts stand before one core
+}
--- /dev/null
+++ b/internal/front/chat/collect.go
@@ -0,0 +1,141 @@
+package chat
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"sort"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"standpulley/internal/dispatch"
+)
+
+// maxAnswer bounds an answer that is put together for a client that wants no stream.
+const maxAnswer = 4 << 20
+
+// completion is the answer of the API in one piece.
+type completion struct {
+	ID      string              `json:"id"`
+	Object  string              `json:"object"`
+	Created int64               `json:"created"`
+	Model   string              `json:"model"`
+	Choices []choice            `json:"choices"`
+	Usage   jsoniter.RawMessage `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Message      reply   `json:"message"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type reply struct {
+	Role      string     `json:"role"`
+	Content   *string    `json:"content"`
+	Refusal   *string    `json:"refusal"`
+	ToolCalls []toolCall `json:"tool_calls,omitempty"`
+}
+
+type toolCall struct {
+	Index    int    `json:"-"`
+	ID       string `json:"id"`
+	Type     string `json:"type"`
+	Function struct {
+		Name      string `json:"name"`
+		Arguments string `json:"arguments"`
+	} `json:"function"`
+}
+
+// chunk is one event of a stream.
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content   *string `json:"content"`
+			Refusal   *string `json:"refusal"`
+			ToolCalls []struct {
+				Index int `json:"index"`
+				toolCall
+			} `json:"tool_calls"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage jsoniter.RawMessage `json:"usage"`
+}
+
+var errTooLong = errors.New("the answer is too long to be put together")
+
+// collect reads a stream to its end and puts its events together.
+func collect(s dispatch.Stream, c *completion) error {
+	var text, refusal bytes.Buffer
+	tools := map[int]*toolCall{}
+	one := choice{Message: reply{Role: "assistant"}}
+	var rest []byte
+	total := 0
+	for {
+		piece, err := s.Next()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if total += len(piece); total > maxAnswer {
+			return errTooLong
+		}
+		rest = append(rest, piece...)
+		for {
+			line, after, whole := bytes.Cut(rest, []byte("\n"))
+			if !whole {
+				break
+			}
+			rest = after
+			data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data:"))
+			if data = bytes.TrimSpace(data); !ok || string(data) == "[DONE]" {
+				continue
+			}
+			var k chunk
+			if err := jsoniter.Unmarshal(data, &k); err != nil {
+				return err
+			}
+			if len(k.Usage) > 0 && string(k.Usage) != "null" {
+				c.Usage = append(jsoniter.RawMessage(nil), k.Usage...)
+			}
+			for _, x := range k.Choices {
+				if x.Delta.Content != nil {
+					text.WriteString(*x.Delta.Content)
+				}
+				if x.Delta.Refusal != nil {
+					refusal.WriteString(*x.Delta.Refusal)
+				}
+				if x.FinishReason != nil {
+					one.FinishReason = x.FinishReason
+				}
+				for _, t := range x.Delta.ToolCalls {
+					have := tools[t.Index]
+					if have == nil {
+						have = &toolCall{Index: t.Index, Type: "function"}
+						tools[t.Index] = have
+					}
+					have.ID += t.ID
+					have.Function.Name += t.Function.Name
+					have.Function.Arguments += t.Function.Arguments
+				}
+			}
+		}
+	}
+	for _, t := range tools {
+		one.Message.ToolCalls = append(one.Message.ToolCalls, *t)
+	}
+	sort.Slice(one.Message.ToolCalls, func(i, j int) bool { return one.Message.ToolCalls[i].Index < one.Message.ToolCalls[j].Index })
+	if text.Len() > 0 || len(tools) == 0 {
+		content := text.String()
+		one.Message.Content = &content
+	}
+	if refusal.Len() > 0 {
+		said := refusal.String()
+		one.Message.Refusal = &said
+	}
+	c.Choices = []choice{one}
+	return nil
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -164,28 +164,32 @@
 	return nil
 }
 
-// NewServer makes the server of a front within its bounds.
-func NewServer(handler fasthttp.RequestHandler, conns, maxBody int) *fasthttp.Server {
+// quiet drops fasthttp's lines on connections that ended: the core's book has the outcomes.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// NewServer makes the server of a front within its bounds. What can't be read as a request is answered by refuse.
+func NewServer(handler fasthttp.RequestHandler, refuse func(ctx *fasthttp.RequestCtx, status int, text string),
+	conns, maxBody int) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handler, Concurrency: conns, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		CloseOnShutdown: true, ReadBufferSize: 8 << 10, WriteBufferSize: 4 << 10, ErrorHandler: malformed,
-	}
-}
-
-// malformed answers what could not be read as a request.
-func malformed(ctx *fasthttp.RequestCtx, err error) {
-	var small *fasthttp.ErrSmallBuffer
-	var late net.Error
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		ctx.Error("the body is too large", fasthttp.StatusRequestEntityTooLarge)
-	case errors.As(err, &small):
-		ctx.Error("the header is too large", fasthttp.StatusRequestHeaderFieldsTooLarge)
-	case errors.As(err, &late) && late.Timeout():
-		ctx.Error("the request did not come in time", fasthttp.StatusRequestTimeout)
-	default:
-		ctx.Error("malformed request", fasthttp.StatusBadRequest)
+		Logger: quiet{}, CloseOnShutdown: true, ReadBufferSize: 8 << 10, WriteBufferSize: 4 << 10,
+		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
+			var small *fasthttp.ErrSmallBuffer
+			var late net.Error
+			switch {
+			case errors.Is(err, fasthttp.ErrBodyTooLarge):
+				refuse(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is too large")
+			case errors.As(err, &small):
+				refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is too large")
+			case errors.As(err, &late) && late.Timeout():
+				refuse(ctx, fasthttp.StatusRequestTimeout, "the request did not come in time")
+			default:
+				refuse(ctx, fasthttp.StatusBadRequest, "malformed request")
+			}
+		},
 	}
 }
 
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -41,7 +41,11 @@
 }
 
 // Server gives the front's server, for at most conns connections.
-func (f *Front) Server(conns int) *fasthttp.Server { return front.NewServer(f.serve, conns, maxBody) }
+func (f *Front) Server(conns int) *fasthttp.Server {
+	return front.NewServer(f.serve, refuse, conns, maxBody)
+}
+
+func refuse(ctx *fasthttp.RequestCtx, status int, text string) { ctx.Error(text, status) }
 
 func (f *Front) serve(ctx *fasthttp.RequestCtx) {
 	received := time.Now()
--- /dev/null
+++ b/internal/fronttest/rig.go
@@ -0,0 +1,112 @@
+// Package fronttest sets up a core with scripted replicas behind a front, for the tests of the fronts.
+package fronttest
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"standpulley/internal/dispatch"
+	"standpulley/internal/front"
+	"standpulley/internal/replica"
+	"standpulley/internal/standin"
+	"standpulley/logic"
+)
+
+// Settings are those of a small fleet with one class of each kind.
+func Settings() logic.Settings {
+	return logic.Settings{Siblings: 1, Zone: "z", MaxAttempts: 4, CanCancel: true, MaxRetryAfter: 2 * time.Second,
+		ReleaseWithin: 500 * time.Millisecond, ColdFrom: 0.3, RampTime: 10 * time.Second, FallMultiple: 2.5,
+		FallTime: 3 * time.Second, ConnIdle: 30 * time.Second, ConnectTimeout: 250 * time.Millisecond,
+		Kinds: []logic.Kind{{Name: "reader", Role: logic.Reader, MemoryTokens: 1e5}, {Name: "writer", Role: logic.Writer, MemoryTokens: 1e5}},
+		Classes: []logic.Class{
+			{Name: "enquiry", Aim: time.Second, Deadline: 3 * time.Second, TokenAim: 60 * time.Millisecond, Worth: 3, Repeat: logic.Safe},
+			{Name: "instruction", Aim: time.Second, Deadline: 3 * time.Second, TokenAim: 60 * time.Millisecond, Worth: 2, Repeat: logic.Unsafe},
+		}}
+}
+
+// Rig is a core with one reader and the writers of a story.
+type Rig struct {
+	Core    *dispatch.Dispatcher
+	Pool    *replica.Pool
+	Reader  *standin.Replica
+	Writers []*standin.Replica
+}
+
+// Start runs a core whose reader plays read and whose writers play one of writes each.
+func Start(t *testing.T, read func(*standin.Exchange), writes ...func(*standin.Exchange)) *Rig {
+	t.Helper()
+	r := &Rig{}
+	list := dispatch.Update{Full: true}
+	add := func(id, kind string, act func(*standin.Exchange)) *standin.Replica {
+		s, err := standin.Start("127.0.0.1:0", act)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		list.Servers = append(list.Servers, dispatch.Server{Addr: s.Addr, ServerEntry: logic.ServerEntry{
+			ID: id, Zone: "z", Kind: kind, Cell: 1, Weight: 1}})
+		return s
+	}
+	if read != nil {
+		r.Reader = add("r", "reader", read)
+	}
+	for i, w := range writes {
+		r.Writers = append(r.Writers, add(string(rune('a'+i)), "writer", w))
+	}
+	set := Settings()
+	r.Pool = replica.NewPool(64, set.ConnIdle, set.ConnectTimeout)
+	r.Pool.Stall = 300 * time.Millisecond
+	core, err := dispatch.New(set, 1, list, replica.NewReleaser(r.Pool), 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Core = core
+	go core.Run()
+	t.Cleanup(core.Stop)
+	if err := core.Phases.Enter(dispatch.Ready); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Serve runs a front's server and gives its address.
+func (r *Rig) Serve(t *testing.T, server *fasthttp.Server) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(&front.Listener{Listener: ln}) }() // ends with the listener
+	t.Cleanup(func() { _ = ln.Close() })
+	return ln.Addr().String()
+}
+
+// Read is the script of a reader that is well.
+func Read(x *standin.Exchange) { x.Read(0) }
+
+// Wait waits for a condition that the story must lead to.
+func Wait(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !cond(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for: %s", what)
+		}
+	}
+}
+
+// Verdicts counts the final answers of one kind.
+func (r *Rig) Verdicts(v dispatch.Verdict) int {
+	totals, _ := r.Core.Counts.Snapshot()
+	return totals.Verdicts[v.String()]
+}
+
+// Runs counts the requests that came to writers.
+func (r *Rig) Runs() (n int) {
+	for _, w := range r.Writers {
+		n += len(w.Calls("POST"))
+	}
+	return n
+}
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -2,9 +2,9 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"strconv"
@@ -23,8 +23,6 @@
 	headerExpires  = "X-Expires-In"
 	headerNeverRan = "X-Never-Ran"
 
-	// A client may wait for at most 5 s after the last event of a stream that is not whole.
-	stallLimit  = 4 * time.Second
 	smallAnswer = 64 << 10 // bodies other than streams
 	piece       = 32 << 10 // of a stream, at most so much at once
 )
@@ -132,9 +130,8 @@
 	req.Header.DisableNormalizing()
 	req.Header.SetNoDefaultContentType(true)
 	req.Header.SetMethod(a.p.Method)
-	req.SetRequestURI(a.p.URI)
-	req.URI().DisablePathNormalizing = true
-	req.Header.SetHost(a.p.Host)
+	req.Header.SetRequestURI(a.p.URI) // as it is: a parsed one would be normalized and take the host's place
+	req.Header.SetHost(cmp.Or(a.p.Host, a.to.Addr))
 	for _, h := range a.p.Headers {
 		req.Header.Set(h[0], h[1])
 	}
@@ -226,7 +223,7 @@
 	over bool
 }
 
-var errStalled = fmt.Errorf("no event for %v", stallLimit)
+var errStalled = errors.New("no event for too long")
 
 // Next gives the next bytes as they come. A live stream is never cut: only silence ends it.
 func (s *stream) Next() ([]byte, error) {
@@ -238,7 +235,7 @@
 	}
 	if s.err == nil {
 		var n int
-		_ = s.a.c.SetReadDeadline(time.Now().Add(stallLimit)) // a failure shows in the read
+		_ = s.a.c.SetReadDeadline(time.Now().Add(s.a.p.Pool.Stall)) // a failure shows in the read
 		n, s.err = s.body.Read(s.buf)
 		if n > 0 {
 			return s.buf[:n], nil
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -14,6 +14,10 @@
 
 // Pool keeps connections to replicas. A connection carries one request at a time.
 type Pool struct {
+	// Stall ends a stream that brings no event for so long. A client may be left waiting for at most 5 s after the
+	// last event of a stream that is not whole.
+	Stall time.Duration
+
 	idleMost    time.Duration // a connection that has stood idle for longer is not used again
 	dialTimeout time.Duration
 	room        chan struct{} // a place for each connection that may be open
@@ -46,7 +50,7 @@
 	if dialTimeout <= 0 {
 		dialTimeout = 250 * time.Millisecond
 	}
-	return &Pool{idleMost: time.Duration(retireAt * float64(idle)), dialTimeout: dialTimeout,
+	return &Pool{Stall: 4 * time.Second, idleMost: time.Duration(retireAt * float64(idle)), dialTimeout: dialTimeout,
 		room: make(chan struct{}, most), idle: map[string][]*conn{}}
 }
 
