Let a client that sent too much read its 413: linger instead of resetting

Cause: front.Conn closed over unread bytes, so the kernel reset the connection before the answer was read (TestBadInput failed once in a few runs; ruled out: the limit itself, the answer was written each time).

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -51,6 +51,23 @@
 	net.Conn
 	ahead    [1]byte // a byte that the watch has read
 	hasAhead bool
+	linger   bool // more may come that nobody reads
+}
+
+const (
+	lingerTime = time.Second
+	lingerMost = 4 << 20
+)
+
+// Close ends the connection. Closing over bytes that were not read would reset it, and the client might never see
+// why its request was turned away.
+func (c *Conn) Close() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok && c.linger {
+		_ = t.CloseWrite() // if it fails, so does the read
+		_ = t.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.CopyN(io.Discard, t, lingerMost) // its end is the point
+	}
+	return c.Conn.Close()
 }
 
 // Read gives back first what a watch has read.
@@ -177,6 +194,9 @@
 		IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		Logger: quiet{}, CloseOnShutdown: true, ReadBufferSize: 8 << 10, WriteBufferSize: 4 << 10,
 		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
+			if c, ok := ctx.Conn().(*Conn); ok {
+				c.linger = true
+			}
 			var small *fasthttp.ErrSmallBuffer
 			var late net.Error
 			switch {
