Stand both fronts on ports that outlive a configuration; stories for each front and the program

Found by the stories: ctx.Error resets Connection: close, so a draining program kept connections (front.NewServer now sets it after the handler).

--- /dev/null
+++ b/cmd/standpulley/main_test.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"standpulley/internal/standin"
+)
+
+// TestMain lets the test's own binary stand for the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("STANDPULLEY_AS_PROGRAM") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// lines collects what a program writes.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+// start runs the program with arguments and environment.
+func start(t *testing.T, env []string, args ...string) (*exec.Cmd, *lines) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), append(env, "STANDPULLEY_AS_PROGRAM=1")...)
+	out := &lines{}
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cmd.Process.Kill() }) // it may have ended
+	return cmd, out
+}
+
+func wait(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !cond(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for: %s", what)
+		}
+	}
+}
+
+// freeAddr gives an address on which nothing listens.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+const settings = `{"siblings":1,"zone":"z","host_types":["reader","writer"],
+ "family_info":{"duty_by_kind":["read","write"],"kv_tokens":[100000,100000],"let_go_by_us":500000},
+ "limits":{"try_limit":4,"cancel":true,"retry_after":true,"max_retry_after_us":2000000},
+ "obligations":{"cold_from":0.3,"ramp_time_us":10000000,"fall_multiple":2.5,"fall_us":3000000},
+ "services":[{"name":"enquiry","goal_time_us":1500000,"deadline_us":6000000,"repeat":"idempotent","credit":3},
+  {"name":"instruction","goal_time_us":1500000,"deadline_us":6000000,"repeat":"at_most_once","credit":2}]}`
+
+// fleet is a reader and a writer with the list of them.
+func fleet(t *testing.T, write func(*standin.Exchange)) []standin.Entry {
+	t.Helper()
+	var list []standin.Entry
+	for kind, act := range map[string]func(*standin.Exchange){"reader": func(x *standin.Exchange) { x.Read(0) }, "writer": write} {
+		r, err := standin.Start("127.0.0.1:0", act)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		list = append(list, standin.Entry{ID: kind, Addr: r.Addr, Zone: "z", Kind: kind, State: "in_service", Weight: 1})
+	}
+	return list
+}
+
+func request(addr string, n int) string {
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: %s\r\nX-Trace-Id: %016x\r\nX-Qos: instruction\r\n"+
+		"X-Expires-In: 5000m\r\nX-Props: prompt_len=10,max_out=10\r\nContent-Length: 2\r\n\r\n{}", addr, n)
+}
+
+// ask sends a request on a new connection and gives what to read its answer from.
+func ask(t *testing.T, addr string, n int) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, request(addr, n)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func answered(t *testing.T, c net.Conn) string {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%d %s %v", resp.StatusCode, text, err)
+	}
+	return string(text)
+}
+
+// The whole life on the platform: start, serve, SIGTERM while a request is open, a late connection, exit.
+func TestProgramFromStartToExit(t *testing.T) {
+	open, goOn := make(chan bool, 8), make(chan bool)
+	list := fleet(t, func(x *standin.Exchange) {
+		x.Head()
+		x.Token("one")
+		open <- true
+		<-goOn
+		x.End()
+	})
+	agent, err := standin.StartAgent("127.0.0.1:0", list...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	config := fmt.Sprintf(`{"name":"n0","seed":"1","settings":%s}`, settings)
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd, out := start(t, []string{"EDGE_CONFIG=" + path, "EDGE_LISTEN=" + addr, "EDGE_DISCOVERY=" + agent.Addr})
+	wait(t, "a ready program", func() bool {
+		resp, err := http.Get("http://" + addr + "/-/ready")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == 200
+	})
+	first := ask(t, addr, 1)
+	<-open
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "the phase", func() bool { return strings.Contains(out.String(), "draining") })
+	late := ask(t, addr, 2) // connections still come for 0.4 s
+	<-open
+	close(goOn)
+	for _, c := range []net.Conn{first, late} {
+		if text := answered(t, c); !strings.HasSuffix(text, "[DONE]\n\n") {
+			t.Errorf("got %q", text)
+		}
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v\n%s", err, out)
+	}
+	if c, err := net.Dial("tcp", addr); err == nil {
+		_ = c.Close()
+		t.Error("the address is still open")
+	}
+}
+
+func TestFaultyConfigurationNamesTheKey(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(`{"listen":"here"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd, out := start(t, []string{"EDGE_CONFIG=" + path})
+	if err := cmd.Wait(); err == nil || !strings.Contains(out.String(), "key listen") {
+		t.Errorf("%v: %s", err, out)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -23,9 +24,17 @@
 	Seed      uint64
 	Limits    Limits
 	Known     discovery.List
+	Chat      Chat
 	Settings  logic.Settings
 }
 
+// Chat sets up the front for the chat API; it is off unless the operator's file has it.
+type Chat struct {
+	Listen    string            `json:"listen"`
+	Models    map[string]string `json:"models"`     // class by model
+	MaxOutput int64             `json:"max_output"` // tokens, where a request names no limit
+}
+
 // Limits bound the machine.
 type Limits struct {
 	Cores    float64 `json:"cores"`
@@ -41,6 +50,7 @@
 	Seed      string         `json:"seed"`
 	Limits    Limits         `json:"limits"`
 	Known     discovery.List `json:"known"`
+	Chat      Chat           `json:"chat"`
 	Settings  map[string]any `json:"settings"`
 }
 
@@ -64,7 +74,7 @@
 	if err := jsoniter.Unmarshal(text, &f); err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known, Chat: f.Chat}
 	for _, d := range []struct {
 		to  *string
 		key string
@@ -73,10 +83,8 @@
 			*d.to = env(d.key)
 		}
 	}
-	for key, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return c, &Fault{key, fmt.Sprintf("%q is not host:port", addr)}
-		}
+	if err := c.checkAddresses(); err != nil {
+		return c, err
 	}
 	if f.Seed != "" {
 		seed, err := strconv.ParseUint(f.Seed, 16, 64)
@@ -103,13 +111,49 @@
 		return c, &Fault{"settings." + fault.Key, fault.Text}
 	}
 	c.Settings = settings
+	for model, class := range c.Chat.Models {
+		if !slices.ContainsFunc(settings.Classes, func(k logic.Class) bool { return k.Name == class }) {
+			return c, &Fault{"chat.models." + model, fmt.Sprintf("%q is not a class", class)}
+		}
+	}
 	if _, err := logic.New(settings, c.Seed); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
 	return c, nil
 }
 
-const minSockets = 64
+const (
+	minSockets = 64
+	chatOutput = 500 // tokens
+)
+
+// checkAddresses wants at least one front, and replicas from discovery or from the file.
+func (c *Config) checkAddresses() error {
+	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"chat.listen", c.Chat.Listen}} {
+		if a.addr == "" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return &Fault{a.key, fmt.Sprintf("%q is not host:port", a.addr)}
+		}
+	}
+	switch {
+	case c.Listen == "" && c.Chat.Listen == "":
+		return &Fault{"listen", "neither this nor chat.listen is set"}
+	case c.Listen == c.Chat.Listen:
+		return &Fault{"chat.listen", "the same address as listen"}
+	case c.Discovery == "" && len(c.Known.Servers) == 0:
+		return &Fault{"discovery", "not set, and known.servers lists no replica"}
+	case c.Chat.Listen != "" && len(c.Chat.Models) == 0:
+		return &Fault{"chat.models", "no model is served"}
+	case c.Chat.MaxOutput < 0:
+		return &Fault{"chat.max_output", "a negative figure"}
+	}
+	if c.Chat.MaxOutput == 0 {
+		c.Chat.MaxOutput = chatOutput
+	}
+	return nil
+}
 
 // defaults are the limits of a small machine.
 func (l *Limits) defaults() {
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,66 @@
+package config
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"92094eb940cf389a",
+ "known":{"version":4,"full":true,"servers":[{"id":"s","addr":"a:1","zone":"z","kind":"p","cell":1,"state":"in_service","weight":1}]},
+ "settings":{"siblings":3,"host_types":["p","d"],"zone":"z",
+  "family_info":{"duty_by_kind":["read","write"],"kv_tokens":[100,200],"let_go_by_us":500000,"token_aim_us":[60000.0]},
+  "limits":{"try_limit":6,"cancel":true,"conn_idle_us":30000000},
+  "services":[{"name":"c","goal_time_us":1500000,"deadline_us":6000000,"repeat":"idempotent","credit":3.0}]}}`
+
+func none(string) string { return "" }
+
+// Guards: the nested JSON form and the simulator's flat form are read by the same mapping.
+func TestNestedAndFlatAreTheSame(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	flat, err := Settings(Values{"siblings": "3", "host_types": "p,d", "zone": "z", "family_info.duty_by_kind": "read,write",
+		"family_info.kv_tokens": "100,200", "family_info.let_go_by_us": "500000", "family_info.token_aim_us": "60000.0",
+		"limits.try_limit": "6", "limits.cancel": "true", "limits.conn_idle_us": "30000000", "services.count": "1",
+		"services.0.name": "c", "services.0.goal_time_us": "1500000", "services.0.deadline_us": "6000000",
+		"services.0.repeat": "idempotent", "services.0.credit": "3.0"})
+	if err != nil || !reflect.DeepEqual(c.Settings, flat) {
+		t.Errorf("%v\n%+v\n%+v", err, c.Settings, flat)
+	}
+	if c.Seed != 0x92094eb940cf389a || c.Limits != (Limits{1, 192, 1024}) || c.Known.Version != 4 {
+		t.Errorf("got %+v", c)
+	}
+}
+
+func TestFaultsNameTheKey(t *testing.T) {
+	for _, f := range []struct{ old, new, key string }{
+		{`"listen":"127.0.0.1:1"`, `"listen":"here"`, "listen"},
+		{`"discovery":"127.0.0.1:2",`, `"discovery":"x",`, "discovery"},
+		{`"name":"n0"`, `"name":"n0","chat":{"listen":"127.0.0.1:3"}`, "chat.models"},
+		{`"name":"n0"`, `"name":"n0","chat":{"listen":"127.0.0.1:3","models":{"m":"none"}}`, "chat.models.m"},
+		{`"name":"n0"`, `"name":"n0","chat":{"listen":"127.0.0.1:1","models":{"m":"c"}}`, "chat.listen"},
+		{`"seed":"9`, `"seed":"x`, "seed"},
+		{`"state":"in_service"`, `"state":"well"`, "known"},
+		{`"repeat":"idempotent"`, `"repeat":"often"`, "settings.services.0.repeat"},
+		{`"siblings":3`, `"siblings":"few"`, "settings.siblings"},
+		{`["read","write"]`, `["read","sing"]`, "settings.family_info.duty_by_kind"},
+		{`"try_limit":6`, `"try_limit":0`, "MaxAttempts"},
+		{`"name":"n0"`, `"name":"n0","limits":{"sockets":3}`, "limits.sockets"},
+		{`"name":"n0"`, `"name":7`, "name"},
+	} {
+		text := strings.Replace(good, f.old, f.new, 1)
+		if _, err := Parse([]byte(text), none); text == good || err == nil || !strings.Contains(strings.ToLower(err.Error()), strings.ToLower(f.key)) {
+			t.Errorf("%s: %v", f.new, err)
+		}
+	}
+}
+
+func TestEnvironmentStandsIn(t *testing.T) {
+	text := strings.Replace(good, `"listen":"127.0.0.1:1",`, ``, 1)
+	c, err := Parse([]byte(text), func(key string) string { return map[string]string{"EDGE_LISTEN": "127.0.0.1:9"}[key] })
+	if err != nil || c.Listen != "127.0.0.1:9" {
+		t.Errorf("%q, %v", c.Listen, err)
+	}
+}
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"log"
 	"sort"
 	"sync"
 	"time"
@@ -151,6 +152,7 @@
 
 func (c *Counts) add(l Line) {
 	l.At = time.Now()
+	log.Printf("%s %s %s %s %s %s", l.ID, l.Class, l.What, l.Took, l.Server, l.Detail)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.recent) < recentLines {
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -70,16 +70,13 @@
 
 // Server gives the front's server, for at most conns connections.
 func (f *Front) Server(conns int) *fasthttp.Server {
-	return front.NewServer(f.serve, func(ctx *fasthttp.RequestCtx, status int, text string) {
+	return front.NewServer(f.core, f.serve, func(ctx *fasthttp.RequestCtx, status int, text string) {
 		f.fail(ctx, &fault{status, "invalid_request", "", text})
 	}, conns, maxBody)
 }
 
 func (f *Front) serve(ctx *fasthttp.RequestCtx) {
 	received := time.Now()
-	if f.core.Phases.Now() >= dispatch.Draining {
-		ctx.SetConnectionClose()
-	}
 	switch p := string(ctx.Path()); {
 	case p == path && ctx.IsPost():
 		if err := f.complete(ctx, received); err != nil {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -14,38 +14,6 @@
 	"standpulley/internal/dispatch"
 )
 
-// Listener hands out connections that can be watched while a handler waits.
-type Listener struct {
-	net.Listener
-	mu     sync.Mutex
-	ending bool
-}
-
-// Accept waits for a connection; at the listener's end it says io.EOF, which fasthttp takes as a plain stop.
-func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if l.ending {
-			return nil, io.EOF
-		}
-		return nil, err
-	}
-	return &Conn{Conn: c}, nil
-}
-
-// Finish accepts what the machine has accepted already, and then nothing more.
-func (l *Listener) Finish(wait time.Duration) {
-	l.mu.Lock()
-	l.ending = true
-	l.mu.Unlock()
-	if t, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
-		_ = t.SetDeadline(time.Now().Add(wait)) // without it the close below comes a little sooner
-	}
-	time.Sleep(wait)
-}
-
 // Conn is a client's connection. fasthttp does not notice a client that leaves while a handler runs; Watch does.
 type Conn struct {
 	net.Conn
@@ -187,10 +155,17 @@
 func (quiet) Printf(string, ...any) {}
 
 // NewServer makes the server of a front within its bounds. What can't be read as a request is answered by refuse.
-func NewServer(handler fasthttp.RequestHandler, refuse func(ctx *fasthttp.RequestCtx, status int, text string),
+// While the program drains, each answer is the last on its connection.
+func NewServer(core *dispatch.Dispatcher, handler fasthttp.RequestHandler, refuse func(ctx *fasthttp.RequestCtx, status int, text string),
 	conns, maxBody int) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: handler, Concurrency: conns, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			handler(ctx)
+			if core.Phases.Now() >= dispatch.Draining {
+				ctx.SetConnectionClose()
+			}
+		},
+		Concurrency: conns, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		Logger: quiet{}, CloseOnShutdown: true, ReadBufferSize: 8 << 10, WriteBufferSize: 4 << 10,
 		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -42,16 +42,13 @@
 
 // Server gives the front's server, for at most conns connections.
 func (f *Front) Server(conns int) *fasthttp.Server {
-	return front.NewServer(f.serve, refuse, conns, maxBody)
+	return front.NewServer(f.core, f.serve, refuse, conns, maxBody)
 }
 
 func refuse(ctx *fasthttp.RequestCtx, status int, text string) { ctx.Error(text, status) }
 
 func (f *Front) serve(ctx *fasthttp.RequestCtx) {
 	received := time.Now()
-	if f.core.Phases.Now() >= dispatch.Draining {
-		ctx.SetConnectionClose()
-	}
 	switch string(ctx.Path()) {
 	case "/-/ready":
 		if f.core.Phases.Now() != dispatch.Ready {
--- /dev/null
+++ b/internal/front/platform/platform_test.go
@@ -0,0 +1,218 @@
+package platform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"standpulley/internal/dispatch"
+	"standpulley/internal/fronttest"
+	"standpulley/internal/standin"
+)
+
+func start(t *testing.T, read func(*standin.Exchange), writes ...func(*standin.Exchange)) (*fronttest.Rig, string) {
+	t.Helper()
+	rig := fronttest.Start(t, read, writes...)
+	return rig, rig.Serve(t, New(rig.Core, rig.Pool).Server(32))
+}
+
+var ids int
+
+// raw is a request as it stands on the wire, with a new id.
+func raw(class, expires string) string {
+	ids++
+	return fmt.Sprintf("POST /v1/chat/completions?x=%%2F1 HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: %016x\r\nX-Qos: %s\r\n"+
+		"X-Object: 7f3a\r\nX-Expires-In: %s\r\nX-Props: prefix=5c0f,prompt_len=100,prefix_len=50,max_out=80\r\n"+
+		"Content-Length: 4\r\n\r\nbody", ids, class, expires)
+}
+
+// send writes a request to a new connection.
+func send(t *testing.T, addr, text string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// answer reads one answer; whole tells whether its body came to its end.
+func answer(t *testing.T, c net.Conn) (resp *http.Response, body string, whole bool) {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err == nil
+}
+
+func serve(x *standin.Exchange)  { x.Answer("a", "b") }
+func silent(x *standin.Exchange) { x.Gone() }
+
+func TestServed(t *testing.T) {
+	rig, addr := start(t, fronttest.Read, serve)
+	resp, body, whole := answer(t, send(t, addr, raw("enquiry", "2000m")))
+	if resp.StatusCode != 200 || !whole || !strings.HasSuffix(body, "data: [DONE]\n\n") || strings.Count(body, "data: ") != 5 {
+		t.Errorf("%d %q %v", resp.StatusCode, body, whole)
+	}
+	call := rig.Writers[0].Calls("POST")[0]
+	if call.Header["Host"] != "backend.local" || call.Body != "body" || call.Path != "/v1/chat/completions" ||
+		!strings.HasSuffix(call.Header["X-Expires-In"], "u") {
+		t.Errorf("the replica got %+v", call)
+	}
+}
+
+// Guards: a stream that breaks must not pass for a whole one.
+func TestBrokenStreamEndsWithoutTheLastChunk(t *testing.T) {
+	for name, act := range map[string]func(*standin.Exchange){
+		"broken":  func(x *standin.Exchange) { x.Head(); x.Token("a"); x.Break() },
+		"stalled": func(x *standin.Exchange) { x.Head(); x.Token("a"); x.Gone() },
+	} {
+		rig, addr := start(t, fronttest.Read, act)
+		if resp, body, whole := answer(t, send(t, addr, raw("enquiry", "2000m"))); resp.StatusCode != 200 || whole ||
+			!strings.Contains(body, `"a"`) {
+			t.Errorf("%s: %d %q whole %v", name, resp.StatusCode, body, whole)
+		}
+		if n := rig.Runs(); n != 1 {
+			t.Errorf("%s: %d sends after the stream had begun", name, n)
+		}
+	}
+}
+
+// Guards: fasthttp does not report a client that leaves while a handler waits.
+func TestClientLeavesWhileItWaits(t *testing.T) {
+	gone := make(chan bool, 1)
+	rig, addr := start(t, fronttest.Read, func(x *standin.Exchange) { x.Gone(); gone <- true })
+	c := send(t, addr, raw("instruction", "3000m"))
+	fronttest.Wait(t, "the send to the writer", func() bool { return rig.Runs() == 1 })
+	_ = c.Close()
+	fronttest.Wait(t, "the client's leaving", func() bool { return rig.Verdicts(dispatch.Left) == 1 })
+	<-gone // the attempt was given up
+	fronttest.Wait(t, "the release", func() bool {
+		return len(rig.Reader.Calls("DELETE"))+len(rig.Writers[0].Calls("DELETE")) > 0
+	})
+}
+
+// Guards: the watch for a client that leaves must not cut off one that sends its next request early.
+func TestNextRequestMayComeEarly(t *testing.T) {
+	_, addr := start(t, fronttest.Read, func(x *standin.Exchange) { time.Sleep(50 * time.Millisecond); serve(x) })
+	c := send(t, addr, raw("enquiry", "3000m")+raw("enquiry", "3000m"))
+	br := bufio.NewReader(c)
+	for i := range 2 {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(i, err)
+		}
+		if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 {
+			t.Errorf("%d: %d %v", i, resp.StatusCode, err)
+		}
+	}
+}
+
+// Guards: a final answer comes by the deadline also when no replica says a word.
+func TestSilentReplicas(t *testing.T) {
+	for class, want := range map[string]int{"enquiry": 503, "instruction": 502} {
+		_, addr := start(t, fronttest.Read, silent)
+		from := time.Now()
+		resp, _, _ := answer(t, send(t, addr, raw(class, "400m")))
+		if took := time.Since(from); resp.StatusCode != want || took > 2*time.Second {
+			t.Errorf("%s: %d after %v", class, resp.StatusCode, took)
+		}
+		if want == 503 && resp.Header.Get("Retry-After") == "" {
+			t.Error("the refusal does not say when to come back")
+		}
+	}
+}
+
+// Guards: a replica may close idle connections at any time; a request written to one would count as a reset.
+func TestIdleConnectionThatTheReplicaClosed(t *testing.T) {
+	rig, addr := start(t, fronttest.Read, func(x *standin.Exchange) { serve(x); x.Break() })
+	c := send(t, addr, "")
+	for range 3 {
+		if _, err := io.WriteString(c, raw("instruction", "2000m")); err != nil {
+			t.Fatal(err)
+		}
+		if resp, _, whole := answer(t, c); resp.StatusCode != 200 || !whole {
+			t.Errorf("%d whole %v", resp.StatusCode, whole)
+		}
+	}
+	if totals, _ := rig.Core.Counts.Snapshot(); totals.Outcomes["connection-lost"] != 0 {
+		t.Errorf("outcomes %v", totals.Outcomes)
+	}
+}
+
+// Guards: a refused connection proves that nothing ran, so an instruction goes to another writer.
+func TestInstructionGoesOnWhereItNeverRan(t *testing.T) {
+	full := func(x *standin.Exchange) { x.Status(503, true, "") }
+	rig, addr := start(t, fronttest.Read, full, serve)
+	rig.Writers[0].Close()
+	for range 4 {
+		if resp, _, whole := answer(t, send(t, addr, raw("instruction", "2000m"))); resp.StatusCode != 200 || !whole {
+			t.Errorf("%d whole %v", resp.StatusCode, whole)
+		}
+	}
+	if n := len(rig.Writers[1].Calls("POST")); n != 4 {
+		t.Errorf("%d sends to the writer that is well", n)
+	}
+}
+
+// Guards: a read that broke off may have ended well, and what it left behind is released.
+func TestReadThatBrokeIsReleased(t *testing.T) {
+	rig, addr := start(t, func(x *standin.Exchange) { x.Break() }, serve)
+	if resp, _, _ := answer(t, send(t, addr, raw("instruction", "1000m"))); resp.StatusCode != 503 {
+		t.Errorf("got %d", resp.StatusCode)
+	}
+	fronttest.Wait(t, "the release", func() bool {
+		return len(rig.Reader.Calls("DELETE"))+len(rig.Writers[0].Calls("DELETE")) > 0
+	})
+}
+
+// Guards: bad input gets its 4xx and never reaches a replica.
+func TestBadInput(t *testing.T) {
+	rig, addr := start(t, fronttest.Read, serve)
+	good := raw("enquiry", "2000m")
+	for _, c := range []struct {
+		old, new string
+		want     int
+	}{
+		{"X-Trace-Id: ", "X-Other: ", 400}, {"X-Qos: enquiry", "X-Qos: none", 400}, {"2000m", "soon", 400}, {"2000m", "-1m", 400},
+		{"X-Object: 7f3a", "X-Object: zz", 400}, {"prompt_len=100", "prompt_len=-1", 400}, {"prefix=5c0f", "prefix", 400},
+		{"X-Trace-Id: 0", "X-Trace-Id: ../0", 400}, {"/v1/chat", "/v2/chat", 404}, {"POST", "GET", 405},
+		{"Content-Length: 4", "Content-Length: 300000", 413}, {"HTTP/1.1", "HTTP", 400},
+	} {
+		if resp, _, _ := answer(t, send(t, addr, strings.Replace(good, c.old, c.new, 1))); resp.StatusCode != c.want {
+			t.Errorf("%s: %d, want %d", c.new, resp.StatusCode, c.want)
+		}
+	}
+	if n := len(rig.Reader.Calls("")) + rig.Runs(); n != 0 {
+		t.Errorf("%d calls reached replicas", n)
+	}
+}
+
+func TestReadyTellsThePhase(t *testing.T) {
+	rig, addr := start(t, fronttest.Read)
+	get := "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+	if resp, _, _ := answer(t, send(t, addr, get)); resp.StatusCode != 200 {
+		t.Errorf("ready: %d", resp.StatusCode)
+	}
+	if err := rig.Core.Phases.Enter(dispatch.Draining); err != nil {
+		t.Fatal(err)
+	}
+	if resp, _, _ := answer(t, send(t, addr, get)); resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("draining: %d, close %v", resp.StatusCode, resp.Close)
+	}
+	if err := rig.Core.Phases.Enter(dispatch.Ready); err == nil {
+		t.Error("a phase was entered twice")
+	}
+}
--- /dev/null
+++ b/internal/front/port.go
@@ -0,0 +1,126 @@
+package front
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Port is an address that is listened on. Its connections go to the Listener that was attached last, so that one
+// server can take over from another without closing the address.
+type Port struct {
+	tcp *net.TCPListener
+
+	mu   sync.Mutex
+	to   *Listener
+	gone bool
+	done chan struct{} // closed when nothing is accepted any more
+}
+
+// Listen opens an address. Connections wait until a Listener is attached.
+func Listen(addr string) (*Port, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Port{tcp: ln.(*net.TCPListener), done: make(chan struct{})}, nil
+}
+
+// Addr is the address that is listened on.
+func (p *Port) Addr() string { return p.tcp.Addr().String() }
+
+// Attach makes a Listener that gets every connection from now on. The one before it, if any, ends.
+func (p *Port) Attach() *Listener {
+	l := &Listener{addr: p.tcp.Addr(), conns: make(chan net.Conn), end: make(chan struct{})}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.to
+	p.to = l
+	if before != nil {
+		before.Close()
+	} else {
+		go p.accept()
+	}
+	return l
+}
+
+func (p *Port) accept() {
+	defer close(p.done)
+	for {
+		c, err := p.tcp.Accept()
+		p.mu.Lock()
+		l, gone := p.to, p.gone
+		p.mu.Unlock()
+		if err != nil {
+			if gone {
+				return
+			}
+			time.Sleep(5 * time.Millisecond) // out of descriptors, most likely: others will be closed
+			continue
+		}
+		for conn := (&Conn{Conn: c}); !l.give(conn); { // it has ended since: another is attached
+			p.mu.Lock()
+			before := l
+			l = p.to
+			p.mu.Unlock()
+			if l == before {
+				_ = conn.Close() // the program is at its end
+				break
+			}
+		}
+	}
+}
+
+// Finish accepts for wait longer what the machine has accepted already, and then closes the address.
+func (p *Port) Finish(wait time.Duration) {
+	p.mu.Lock()
+	p.gone = true
+	attached := p.to
+	p.mu.Unlock()
+	_ = p.tcp.SetDeadline(time.Now().Add(wait)) // if it fails, the close below ends the accepting
+	if attached != nil {
+		select {
+		case <-p.done:
+		case <-time.After(wait + time.Second):
+		}
+		attached.Close()
+	}
+	_ = p.tcp.Close()
+}
+
+// Listener hands a server the connections of a Port.
+type Listener struct {
+	addr  net.Addr
+	conns chan net.Conn
+	end   chan struct{}
+	once  sync.Once
+}
+
+func (l *Listener) give(c net.Conn) bool {
+	select {
+	case l.conns <- c:
+		return true
+	case <-l.end:
+		return false
+	}
+}
+
+// Accept waits for a connection. At the end it says io.EOF, which fasthttp takes as a plain stop.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.end:
+		return nil, io.EOF
+	}
+}
+
+// Close ends the Listener, not its Port.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.end) })
+	return nil
+}
+
+// Addr is the Port's address.
+func (l *Listener) Addr() net.Addr { return l.addr }
--- a/internal/fronttest/rig.go
+++ b/internal/fronttest/rig.go
@@ -2,7 +2,6 @@
 package fronttest
 
 import (
-	"net"
 	"testing"
 	"time"
 
@@ -75,13 +74,14 @@
 // Serve runs a front's server and gives its address.
 func (r *Rig) Serve(t *testing.T, server *fasthttp.Server) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := front.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = server.Serve(&front.Listener{Listener: ln}) }() // ends with the listener
-	t.Cleanup(func() { _ = ln.Close() })
-	return ln.Addr().String()
+	ln := port.Attach()
+	go func() { _ = server.Serve(ln) }() // ends with the port
+	t.Cleanup(func() { port.Finish(0) })
+	return port.Addr()
 }
 
 // Read is the script of a reader that is well.
