--- /dev/null
+++ b/cmd/standpulley/appliance.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"time"
+
+	"standpulley/internal/appliance"
+	"standpulley/internal/config"
+)
+
+// reload asks the program's goroutine to put a configuration in force.
+type reload struct {
+	cfg   config.Config
+	reply chan error
+}
+
+// managed is what the console speaks to.
+type managed struct {
+	dir     appliance.Dir
+	since   time.Time
+	reloads chan reload
+	state   chan chan appliance.Reply
+	done    chan struct{}
+}
+
+// State asks the program's goroutine for its present stack, and the stack for its state.
+func (m *managed) State() appliance.Reply {
+	q := make(chan appliance.Reply, 1)
+	select {
+	case m.state <- q:
+		return <-q
+	case <-m.done:
+		return appliance.Reply{Error: "the program is at its end"}
+	}
+}
+
+// Reload takes up what is in force in the state folder.
+func (m *managed) Reload() error {
+	cfg, err := m.dir.Load()
+	if err != nil {
+		return err
+	}
+	r := reload{cfg, make(chan error, 1)}
+	select {
+	case m.reloads <- r:
+		return <-r.reply
+	case <-m.done:
+		return nil // the next start finds it
+	}
+}
+
+// runAppliance serves what is in force in a state folder.
+func runAppliance(dir appliance.Dir) error {
+	cfg, err := dir.Load()
+	if err != nil {
+		return err
+	}
+	ln, err := dir.Listen()
+	if err != nil {
+		return err
+	}
+	m := &managed{dir: dir, since: time.Now(), reloads: make(chan reload), state: make(chan chan appliance.Reply), done: make(chan struct{})}
+	defer close(m.done)
+	defer ln.Close()
+	go appliance.Serve(ln, m)
+	return serve(cfg, signals(), m)
+}
--- a/cmd/standpulley/serve.go
+++ b/cmd/standpulley/serve.go
@@ -7,10 +7,12 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"standpulley/internal/appliance"
 	"standpulley/internal/config"
 	"standpulley/internal/discovery"
 	"standpulley/internal/dispatch"
@@ -27,6 +29,7 @@
 	firstList     = 500 * time.Millisecond // how long a start waits for discovery, as what is known may be old
 	acceptLonger  = 450 * time.Millisecond // new connections still come for 0.4 s after SIGTERM
 	acceptedAhead = 50 * time.Millisecond  // and those that the machine has accepted are not lost
+	handOver      = 2 * time.Second        // connections of the configuration before may still be used
 	releaseAhead  = time.Second            // what is held is let go before the exit, if that takes no longer
 	openPerMB     = 2                      // open requests for each MB, as each has a body of up to 256 KiB
 )
@@ -121,6 +124,7 @@
 type program struct {
 	ports map[string]*front.Port
 	now   *stack
+	old   sync.WaitGroup // stacks that finish what they had taken
 }
 
 // force puts a configuration in force. On an error the one before stays as it was.
@@ -168,7 +172,11 @@
 	if err := before.core.Phases.Enter(dispatch.Draining); err != nil {
 		return err
 	}
+	p.old.Add(1)
 	go func() {
+		defer p.old.Done()
+		// A client may be about to use a connection that is idle now: it is answered, and told to close it.
+		time.Sleep(handOver)
 		if err := before.finish(); err != nil {
 			log.Printf("the configuration before: %v", err)
 		}
@@ -194,16 +202,29 @@
 		<-done
 	}
 	err := p.now.finish()
+	p.old.Wait()
 	log.Print("stopped")
 	return err
 }
 
-// serve is the platform's program from start to exit.
-func serve(cfg config.Config, stop <-chan os.Signal) error {
+// serve is the program from start to exit; m is nil on the platform.
+func serve(cfg config.Config, stop <-chan os.Signal, m *managed) error {
 	p := &program{ports: map[string]*front.Port{}}
 	if err := p.force(cfg); err != nil {
 		return err
 	}
-	<-stop
-	return p.drain()
+	if m == nil {
+		m = &managed{} // whose channels bring nothing
+	}
+	for {
+		select {
+		case <-stop:
+			return p.drain()
+		case r := <-m.reloads:
+			r.reply <- p.force(r.cfg)
+		case q := <-m.state:
+			view, _ := p.now.core.Inspect() // it runs for as long as it is in force
+			q <- appliance.Reply{Name: p.now.cfg.Name, Since: m.since, View: view}
+		}
+	}
 }
--- /dev/null
+++ b/internal/appliance/console.go
@@ -0,0 +1,145 @@
+package appliance
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"os"
+	"sort"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"standpulley/internal/dispatch"
+)
+
+const (
+	stateCommand  = "state"
+	reloadCommand = "reload"
+	callLimit     = 5 * time.Second
+	consoles      = 8 // calls served at once
+)
+
+var errNotRunning = errors.New("no program runs on this state folder")
+
+// Reply is what a running program says to a console or an apply.
+type Reply struct {
+	Error string        `json:"error,omitempty"`
+	Name  string        `json:"name"`
+	Since time.Time     `json:"since"`
+	View  dispatch.View `json:"view"`
+}
+
+// Program is what the console speaks to.
+type Program interface {
+	State() Reply
+	Reload() error
+}
+
+// Listen opens the state folder's socket. Only its owner can speak to it.
+func (d Dir) Listen() (net.Listener, error) {
+	if d.call(stateCommand, &Reply{}) == nil {
+		return nil, fmt.Errorf("%s: a program runs on it already", d)
+	}
+	if err := os.Remove(d.Socket()); err != nil && !errors.Is(err, fs.ErrNotExist) { // left by one that was killed
+		return nil, err
+	}
+	ln, err := net.Listen("unix", d.Socket())
+	if err != nil {
+		return nil, err
+	}
+	return ln, os.Chmod(d.Socket(), 0o600)
+}
+
+// Serve answers consoles until the listener is closed.
+func Serve(ln net.Listener, p Program) {
+	room := make(chan struct{}, consoles)
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		room <- struct{}{}
+		go func() {
+			defer func() { _ = c.Close(); <-room }()
+			_ = c.SetDeadline(time.Now().Add(callLimit)) // a failure shows in the read
+			line, err := bufio.NewReader(io.LimitReader(c, 64)).ReadString('\n')
+			if err != nil {
+				return
+			}
+			var r Reply
+			switch strings.TrimSpace(line) {
+			case stateCommand:
+				r = p.State()
+			case reloadCommand:
+				if err := p.Reload(); err != nil {
+					r.Error = err.Error()
+				}
+			default:
+				r.Error = "unknown command"
+			}
+			_ = jsoniter.NewEncoder(c).Encode(r) // a console that has gone misses nothing
+		}()
+	}
+}
+
+// State asks the running program.
+func (d Dir) State() (Reply, error) {
+	var r Reply
+	err := d.call(stateCommand, &r)
+	return r, err
+}
+
+func (d Dir) call(command string, reply *Reply) error {
+	c, err := net.DialTimeout("unix", d.Socket(), callLimit)
+	if errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) {
+		return errNotRunning
+	}
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(callLimit)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(c, command); err != nil {
+		return err
+	}
+	return jsoniter.NewDecoder(c).Decode(reply)
+}
+
+// Show draws a program's state as a page of at most lines recent outcomes.
+func Show(out io.Writer, r Reply, lines int) {
+	v := r.View
+	fmt.Fprintf(out, "%s  %s  up %s  open %d\n", r.Name, v.Phase, time.Since(r.Since).Round(time.Second), v.Open)
+	fmt.Fprintf(out, "requests %d: %s\n", v.Totals.Taken, counts(v.Totals.Verdicts))
+	fmt.Fprintf(out, "attempts %d: %s\nreleases %d\n\n", v.Totals.Attempts, counts(v.Totals.Outcomes), v.Totals.Releases)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "REPLICA\tKIND\tZONE\tCELL\tADDRESS\tSTATE\tOUT")
+	for _, s := range v.Servers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\n", s.ID, s.Kind, s.Zone, s.Cell, s.Addr, s.State, s.Out)
+	}
+	fmt.Fprintln(w, "\nTIME\tREQUEST\tCLASS\tWHAT\tTOOK\tREPLICA\tDETAIL")
+	for _, l := range v.Recent[max(len(v.Recent)-lines, 0):] {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", l.At.Format("15:04:05.000"), l.ID, l.Class, l.What, l.Took, l.Server, l.Detail)
+	}
+	_ = w.Flush() // out is a terminal or a buffer
+}
+
+func counts(m map[string]int) string {
+	var words []string
+	for name, n := range m {
+		words = append(words, fmt.Sprintf("%s %d", name, n))
+	}
+	if len(words) == 0 {
+		return "none yet"
+	}
+	sort.Strings(words)
+	return strings.Join(words, ", ")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"slices"
@@ -86,6 +87,7 @@
 	if err := c.checkAddresses(); err != nil {
 		return c, err
 	}
+	c.Seed = rand.Uint64() // where none is told
 	if f.Seed != "" {
 		seed, err := strconv.ParseUint(f.Seed, 16, 64)
 		if err != nil {
@@ -168,6 +170,20 @@
 	}
 }
 
+// Flatten gives every key of a configuration with its value as text; nothing gives none.
+func Flatten(text []byte) (Values, error) {
+	val := Values{}
+	if len(text) == 0 {
+		return val, nil
+	}
+	var all map[string]any
+	if err := jsoniter.Unmarshal(text, &all); err != nil {
+		return nil, err
+	}
+	flatten(val, "", all)
+	return val, nil
+}
+
 // flatten spells nested settings as the simulator's wire does: paths with dots, lists of simple values joined by
 // commas, lists of objects by .count and their numbers.
 func flatten(to Values, path string, v any) {
--- /dev/null
+++ b/internal/dispatch/inspect.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import "sort"
+
+// View is the core's present state, for people.
+type View struct {
+	Phase   string     `json:"phase"`
+	Open    int        `json:"open"`
+	Servers []ViewLine `json:"servers"`
+	Totals  Totals     `json:"totals"`
+	Recent  []Line     `json:"recent"`
+}
+
+// ViewLine is one listed replica.
+type ViewLine struct {
+	ID    string `json:"id"`
+	Addr  string `json:"addr"`
+	Kind  string `json:"kind"`
+	Zone  string `json:"zone"`
+	Cell  int64  `json:"cell"`
+	State string `json:"state"`
+	Out   int    `json:"out"` // attempts of ours that are there now
+}
+
+type inspection chan View
+
+// Inspect asks the core for its state. It reports false after Stop.
+func (d *Dispatcher) Inspect() (View, bool) {
+	q := make(inspection, 1)
+	d.post(q)
+	select {
+	case v := <-q:
+		return v, true
+	case <-d.done:
+		return View{}, false
+	}
+}
+
+func (q inspection) apply(d *Dispatcher) {
+	v := View{Phase: d.Phases.Now().String(), Open: len(d.requests)}
+	v.Totals, v.Recent = d.Counts.Snapshot()
+	out := map[string]int{}
+	for _, r := range d.requests {
+		for _, at := range r.out {
+			out[at.server]++
+		}
+	}
+	for _, s := range d.servers {
+		v.Servers = append(v.Servers, ViewLine{s.ID, s.Addr, s.Kind, s.Zone, s.Cell, s.Availability.String(), out[s.ID]})
+	}
+	sort.Slice(v.Servers, func(i, j int) bool { return v.Servers[i].ID < v.Servers[j].ID })
+	q <- v
+}
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -93,7 +93,7 @@
 
 // complete takes a request from its body to its final answer. An error is one that the core never saw.
 func (f *Front) complete(ctx *fasthttp.RequestCtx, received time.Time) error {
-	text := append([]byte(nil), ctx.PostBody()...)
+	text := ctx.Request.SwapBody(nil) // it is ours from here, as attempts may outlive the handler
 	b, err := parse(text)
 	if err != nil {
 		return err
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -111,13 +111,14 @@
 		return q, fmt.Errorf("X-Object: %w", err)
 	}
 	ask.Tenant = string(in.Header.Peek("X-Customer"))
-	ask.PromptTokens = int64(len(in.Body()) / tokenSize) // where no length is told
+	body := in.SwapBody(nil)                        // it is ours from here, as attempts may outlive the handler
+	ask.PromptTokens = int64(len(body) / tokenSize) // where no length is told
 	if err := props(string(in.Header.Peek("X-Props")), ask); err != nil {
 		return q, fmt.Errorf("X-Props: %w", err)
 	}
 	ask.Again = string(in.Header.Peek("X-Second-Try")) == "1"
 	parcel := &replica.Parcel{Pool: f.pool, ID: q.ID, Method: string(in.Header.Method()),
-		URI: string(in.RequestURI()), Host: string(in.Header.Host()), Body: append([]byte(nil), in.Body()...)}
+		URI: string(in.RequestURI()), Host: string(in.Header.Host()), Body: body}
 	for _, name := range []string{"Content-Type", "X-Qos", "X-Object", "X-Customer", "X-Props", "X-Second-Try"} {
 		if v := in.Header.Peek(name); len(v) > 0 {
 			parcel.Headers = append(parcel.Headers, [2]string{name, string(v)})
