--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,245 @@
+package dispatch
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"standpulley/logic"
+)
+
+// parcel is one whose attempts do what the story says, when it says so.
+type parcel struct {
+	sent      []*fake
+	cancelled int
+}
+
+type fake struct {
+	p    *parcel
+	tell Report
+	to   Target
+}
+
+func (p *parcel) Send(to Target, tell Report) Attempt {
+	f := &fake{p, tell, to}
+	p.sent = append(p.sent, f)
+	return f
+}
+
+func (f *fake) Cancel() { f.p.cancelled++ }
+
+type closer struct{ closed bool }
+
+func (c *closer) Next() ([]byte, error) { return nil, io.EOF }
+func (c *closer) Close()                { c.closed = true }
+
+type released []string
+
+func (r *released) Release(id string, addrs []string) { *r = append(*r, id) }
+
+var classes = []logic.Class{
+	{Name: "safe", Aim: time.Second, Deadline: 3 * time.Second, Repeat: logic.Safe},
+	{Name: "unsafe", Aim: time.Second, Deadline: 3 * time.Second, Repeat: logic.Unsafe},
+}
+
+// core is one whose messages are applied by the test itself, one by one: there is no time and no goroutine in it.
+func core(t *testing.T, maxOpen int) (*Dispatcher, *released) {
+	t.Helper()
+	set := logic.Settings{Siblings: 1, MaxAttempts: 3, CanCancel: true, MaxRetryAfter: time.Second, Classes: classes,
+		ReleaseWithin: 500 * time.Millisecond, RampTime: time.Second, FallTime: time.Second, FallMultiple: 2,
+		Kinds: []logic.Kind{{Name: "r", Role: logic.Reader}, {Name: "w", Role: logic.Writer}}}
+	list := Update{Full: true}
+	for _, s := range [][2]string{{"r1", "r"}, {"w1", "w"}, {"w2", "w"}} {
+		list.Servers = append(list.Servers, Server{Addr: s[0], ServerEntry: logic.ServerEntry{ID: s[0], Kind: s[1], Weight: 1}})
+	}
+	rel := &released{}
+	d, err := New(set, 1, list, rel, maxOpen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d, rel
+}
+
+// drive applies what was posted.
+func drive(d *Dispatcher) {
+	for {
+		select {
+		case m := <-d.inbox:
+			m.apply(d)
+		default:
+			return
+		}
+	}
+}
+
+func take(d *Dispatcher, id, class string) (*Ticket, *parcel) {
+	p := &parcel{}
+	t := d.Take(Request{ID: id, Received: time.Now(), Parcel: p,
+		Ask: logic.Request{Class: class, Remaining: 2 * time.Second, PromptTokens: 10}})
+	drive(d)
+	return t, p
+}
+
+// end lets the last attempt of a parcel end.
+func end(d *Dispatcher, p *parcel, o logic.Outcome) {
+	p.sent[len(p.sent)-1].tell.Ended(Result{Outcome: o})
+	drive(d)
+}
+
+func answerOf(t *testing.T, k *Ticket) Answer {
+	t.Helper()
+	select {
+	case a := <-k.Answer():
+		return a
+	default:
+		t.Fatal("there is no answer yet")
+		return Answer{}
+	}
+}
+
+func none(t *testing.T, k *Ticket) {
+	t.Helper()
+	select {
+	case a := <-k.Answer():
+		t.Errorf("a further answer: %+v", a)
+	default:
+	}
+}
+
+func TestServedOnce(t *testing.T) {
+	d, _ := core(t, 9)
+	k, p := take(d, "a", "unsafe")
+	end(d, p, logic.ReadDone)
+	s := &closer{}
+	p.sent[1].tell.Began(s)
+	drive(d)
+	if a := answerOf(t, k); a.Verdict != Served || a.Stream != s {
+		t.Errorf("got %+v", a)
+	}
+	d.overtime(k.r) // its deadline runs no longer
+	end(d, p, logic.ConnectionLost)
+	if none(t, k); len(p.sent) != 2 || s.closed || len(d.requests) != 0 {
+		t.Errorf("%d sends, closed %v, %d kept", len(p.sent), s.closed, len(d.requests))
+	}
+}
+
+// Guards: a stream that begins after the final answer, or after its attempt was given up, reaches nobody.
+func TestStreamThatBeginsTooLate(t *testing.T) {
+	d, _ := core(t, 9)
+	k, p := take(d, "a", "safe")
+	end(d, p, logic.ReadDone)
+	d.overtime(k.r)
+	if a := answerOf(t, k); a.Verdict != Failed || p.cancelled != 1 {
+		t.Errorf("got %+v, %d cancelled", a, p.cancelled)
+	}
+	s := &closer{}
+	p.sent[1].tell.Began(s)
+	end(d, p, logic.Cancelled)
+	if none(t, k); !s.closed || len(d.requests) != 0 {
+		t.Errorf("closed %v, %d kept", s.closed, len(d.requests))
+	}
+}
+
+// Guards: whatever the module decides, an instruction is neither sent again nor refused once it may have run.
+func TestRepeatRule(t *testing.T) {
+	for _, o := range []logic.Outcome{logic.ConnectionLost, logic.TimedOut, logic.ServerError, logic.Cancelled} {
+		d, _ := core(t, 9)
+		k, p := take(d, "a", "unsafe")
+		end(d, p, logic.ReadDone)
+		again := logic.Action{Kind: logic.Send, RequestID: "a", Server: "w2"}
+		d.carryOut(again) // while the first is out
+		if len(p.sent) != 2 {
+			t.Errorf("%v: a second copy went out", o)
+		}
+		r := k.r
+		p.sent[1].tell.Ended(Result{Outcome: o})
+		drive(d)
+		d.carryOut(again)
+		if a := answerOf(t, k); a.Verdict != Failed || !a.MayRun || len(p.sent) != 2 || !r.answered {
+			t.Errorf("%v: %+v after %d sends", o, a, len(p.sent))
+		}
+	}
+	d, _ := core(t, 9)
+	k, p := take(d, "b", "unsafe")
+	end(d, p, logic.ReadDone)
+	d.carryOut(logic.Action{Kind: logic.Refuse, RequestID: "b"})
+	if a := answerOf(t, k); a.Verdict != Failed {
+		t.Errorf("refused while an attempt is out: %+v", a)
+	}
+}
+
+// Guards: what proves that it never ran lets an instruction go on, and a reader's end is no effect.
+func TestProofsOfNeverRan(t *testing.T) {
+	for _, o := range []logic.Outcome{logic.Full, logic.ConnectFailed} {
+		d, _ := core(t, 9)
+		k, p := take(d, "a", "unsafe")
+		end(d, p, logic.ReadDone)
+		end(d, p, o)
+		if none(t, k); len(p.sent) != 3 || p.sent[2].to.Server == p.sent[1].to.Server {
+			t.Errorf("%v: %d sends", o, len(p.sent))
+		}
+	}
+	d, rel := core(t, 9)
+	k, p := take(d, "a", "unsafe")
+	for range 3 {
+		end(d, p, logic.ConnectionLost)
+	}
+	if a := answerOf(t, k); a.Verdict != Refused || a.MayRun || a.After <= 0 || len(*rel) == 0 {
+		t.Errorf("broken reads: %+v, released %v", a, *rel)
+	}
+}
+
+// Guards: a client that leaves while a read is out: the read is given up, and what it left is let go.
+func TestDeparture(t *testing.T) {
+	d, rel := core(t, 9)
+	k, p := take(d, "a", "unsafe")
+	k.Leave()
+	drive(d)
+	if a := answerOf(t, k); a.Verdict != Left || a.MayRun || p.cancelled != 1 {
+		t.Errorf("got %+v, %d cancelled", a, p.cancelled)
+	}
+	end(d, p, logic.Cancelled)
+	if len(*rel) == 0 || len(d.requests) != 0 {
+		t.Errorf("released %v, %d kept", *rel, len(d.requests))
+	}
+}
+
+// Guards: the table is bounded, and an id stands for one request at a time.
+func TestAdmission(t *testing.T) {
+	d, _ := core(t, 1)
+	take(d, "a", "safe")
+	if k, _ := take(d, "a", "safe"); answerOf(t, k).Verdict != Failed {
+		t.Error("an id was taken twice")
+	}
+	if k, p := take(d, "b", "safe"); answerOf(t, k).Verdict != Refused || len(p.sent) != 0 {
+		t.Error("more than the table holds")
+	}
+	if k, _ := take(d, "c", "other"); answerOf(t, k).Verdict != Failed {
+		t.Error("an unknown class was taken")
+	}
+}
+
+// Guards: a replica that was told to drain gets nothing new, whatever the module decides.
+func TestNothingNewToADrainingReplica(t *testing.T) {
+	d, _ := core(t, 9)
+	_, p := take(d, "a", "safe")
+	Update{Servers: []Server{{Addr: "w1", ServerEntry: logic.ServerEntry{ID: "w1", Kind: "w", Availability: logic.Draining}}}}.apply(d)
+	d.carryOut(logic.Action{Kind: logic.Send, RequestID: "a", Server: "w1"})
+	for _, f := range p.sent {
+		if f.to.Server == "w1" {
+			t.Error("it was sent")
+		}
+	}
+}
+
+func TestBookKeepsTheLastLines(t *testing.T) {
+	c := &Counts{}
+	for i := range recentLines + 3 {
+		c.add(Line{ID: string(rune('a' + i%26))})
+	}
+	_, lines := c.Snapshot()
+	last := recentLines + 2
+	if len(lines) != recentLines || lines[len(lines)-1].ID != string(rune('a'+last%26)) || lines[0].ID != string(rune('a'+3)) {
+		t.Errorf("%d lines, %v to %v", len(lines), lines[0], lines[len(lines)-1])
+	}
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,212 @@
+package replica
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"standpulley/internal/dispatch"
+	"standpulley/internal/standin"
+	"standpulley/logic"
+)
+
+// report collects what an attempt tells of itself.
+type report struct {
+	began chan dispatch.Stream
+	ended chan dispatch.Result
+}
+
+func newReport() *report {
+	return &report{make(chan dispatch.Stream, 2), make(chan dispatch.Result, 2)}
+}
+func (r *report) Began(s dispatch.Stream) { r.began <- s }
+func (r *report) Ended(d dispatch.Result) { r.ended <- d }
+
+func (r *report) result(t *testing.T) dispatch.Result {
+	t.Helper()
+	select {
+	case d := <-r.ended:
+		return d
+	case <-time.After(5 * time.Second):
+		t.Fatal("the attempt does not end")
+		return dispatch.Result{}
+	}
+}
+
+func replicaOf(t *testing.T, act func(*standin.Exchange)) *standin.Replica {
+	t.Helper()
+	r, err := standin.Start("127.0.0.1:0", act)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+func send(pool *Pool, addr string, wait time.Duration, body string) (*report, dispatch.Attempt) {
+	rep := newReport()
+	p := &Parcel{Pool: pool, ID: "id1", Method: "POST", URI: "/v1/x?y=%2F", Body: []byte(body)}
+	return rep, p.Send(dispatch.Target{Server: "s", Addr: addr, Until: time.Now().Add(wait)}, rep)
+}
+
+// Guards: what an attempt ends with decides whether it may be repeated, so each end has its exact outcome.
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		act  func(*standin.Exchange)
+		want dispatch.Result
+	}{
+		"read":              {func(x *standin.Exchange) { x.Read(42) }, dispatch.Result{Outcome: logic.ReadDone, Tokens: 42}},
+		"error":             {func(x *standin.Exchange) { x.Status(500, false, "x") }, dispatch.Result{Outcome: logic.ServerError}},
+		"full":              {func(x *standin.Exchange) { x.Status(503, true, "x") }, dispatch.Result{Outcome: logic.Full}},
+		"over":              {func(x *standin.Exchange) { x.Status(504, true, "") }, dispatch.Result{Outcome: logic.Full}},
+		"503 without proof": {func(x *standin.Exchange) { x.Status(503, false, "") }, dispatch.Result{Outcome: logic.ServerError}},
+		"no state":          {func(x *standin.Exchange) { x.Status(410, true, "") }, dispatch.Result{Outcome: logic.Full, NoState: true}},
+		"410 without proof": {func(x *standin.Exchange) { x.Status(410, false, "") }, dispatch.Result{Outcome: logic.ServerError}},
+		"reset":             {func(x *standin.Exchange) { x.Break() }, dispatch.Result{Outcome: logic.ConnectionLost}},
+		"head, no event":    {func(x *standin.Exchange) { x.Head(); x.Break() }, dispatch.Result{Outcome: logic.ConnectionLost}},
+		"silence":           {func(x *standin.Exchange) { x.Gone() }, dispatch.Result{Outcome: logic.TimedOut}},
+	} {
+		r := replicaOf(t, c.act)
+		rep, _ := send(NewPool(4, 0, 0), r.Addr, 300*time.Millisecond, "b")
+		got := rep.result(t)
+		got.Detail = ""
+		if got != c.want || len(r.Calls("")) != 1 {
+			t.Errorf("%s: %+v after %d calls, want %+v", name, got, len(r.Calls("")), c.want)
+		}
+	}
+}
+
+// Guards: only what was written to its last byte may have run.
+func TestBrokenBeforeTheLastByte(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(c, make([]byte, 10))
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	rep, _ := send(NewPool(4, 0, 0), ln.Addr().String(), 3*time.Second, string(make([]byte, 64<<20)))
+	if got := rep.result(t); got.Outcome != logic.ConnectFailed {
+		t.Errorf("broken while it was written: %+v", got)
+	}
+	_ = ln.Close()
+	rep, _ = send(NewPool(4, 0, 0), ln.Addr().String(), 3*time.Second, "b")
+	if got := rep.result(t); got.Outcome != logic.ConnectFailed {
+		t.Errorf("refused: %+v", got)
+	}
+}
+
+// Guards: an attempt that is given up closes its connection, and one that never left tells nothing of the replica.
+func TestCancel(t *testing.T) {
+	gone := make(chan bool, 1)
+	r := replicaOf(t, func(x *standin.Exchange) { x.Gone(); gone <- true })
+	rep, at := send(NewPool(4, 0, 0), r.Addr, 10*time.Second, "b")
+	for len(r.Calls("")) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	at.Cancel()
+	if got := rep.result(t); got.Outcome != logic.Cancelled {
+		t.Errorf("got %+v", got)
+	}
+	<-gone
+	pool := NewPool(1, 0, 0)
+	pool.room <- struct{}{}
+	rep, _ = send(pool, r.Addr, time.Second, "b")
+	if got := rep.result(t); got.Outcome != logic.NotSent {
+		t.Errorf("no room: %+v", got)
+	}
+}
+
+// Guards: the attempt's time no longer runs once its stream is read, however long the stream.
+func TestLiveStreamIsNeverCut(t *testing.T) {
+	r := replicaOf(t, func(x *standin.Exchange) {
+		x.Head()
+		for range 6 {
+			x.Token("a")
+			time.Sleep(60 * time.Millisecond)
+		}
+		x.End()
+	})
+	pool := NewPool(4, 0, 0)
+	rep, _ := send(pool, r.Addr, 150*time.Millisecond, "b")
+	s := <-rep.began
+	var err error
+	for err == nil {
+		_, err = s.Next()
+	}
+	if got := rep.result(t); err != io.EOF || got.Outcome != logic.Delivered {
+		t.Errorf("%v, %+v", err, got)
+	}
+	s.Close() // after the end it does nothing
+	if len(rep.ended) != 0 || len(pool.idle[r.Addr]) != 1 {
+		t.Errorf("%d further ends, %d idle connections", len(rep.ended), len(pool.idle[r.Addr]))
+	}
+}
+
+// Guards: connections are used again, but not when they have been idle for nearly as long as the replica allows.
+func TestConnectionsAreUsedAgainAndRetired(t *testing.T) {
+	r := replicaOf(t, func(x *standin.Exchange) { x.Read(0) })
+	pool := NewPool(4, 100*time.Second, 0)
+	for range 3 {
+		rep, _ := send(pool, r.Addr, time.Second, "b")
+		rep.result(t)
+	}
+	if len(pool.room) != 1 {
+		t.Errorf("%d connections for requests in turn", len(pool.room))
+	}
+	old := pool.idle[r.Addr][0]
+	old.idledAt = time.Now().Add(-81 * time.Second)
+	c, err := pool.get(context.Background(), r.Addr)
+	if err != nil || c == old || len(pool.room) != 1 {
+		t.Errorf("%v, the old one %v, %d open", err, c == old, len(pool.room))
+	}
+}
+
+// Guards: the number of open connections is bounded; idle ones to other replicas make room.
+func TestPoolIsBounded(t *testing.T) {
+	a := replicaOf(t, func(x *standin.Exchange) { x.Read(0) })
+	b := replicaOf(t, func(x *standin.Exchange) { x.Read(0) })
+	pool := NewPool(1, 0, 0)
+	for _, addr := range []string{a.Addr, b.Addr, a.Addr} {
+		rep, _ := send(pool, addr, time.Second, "b")
+		if got := rep.result(t); got.Outcome != logic.ReadDone {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if len(pool.room) != 1 {
+		t.Errorf("%d open", len(pool.room))
+	}
+}
+
+// Guards: a release that one replica can't take goes to another.
+func TestReleaseTriesAnother(t *testing.T) {
+	dead := replicaOf(t, func(*standin.Exchange) {})
+	dead.Close()
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // it accepts and never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	well := replicaOf(t, func(*standin.Exchange) {})
+	l := NewReleaser(NewPool(4, 0, 0))
+	l.Release("id1", []string{dead.Addr, silent.Addr().String(), well.Addr})
+	for end := time.Now().Add(5 * time.Second); len(well.Calls("DELETE")) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the replica that is well was not asked")
+		}
+	}
+	if p := well.Calls("DELETE")[0].Path; p != "/bootstrap/rooms/id1" {
+		t.Errorf("asked for %s", p)
+	}
+}
