--- a/cmd/standpulley/appliance_test.go
+++ b/cmd/standpulley/appliance_test.go
@@ -33,14 +33,8 @@
 
 // The appliance's life: apply, run, serve by the chat API, look at the console, apply anew while a stream runs.
 func TestApplianceFromApplyToExit(t *testing.T) {
-	open, goOn := make(chan bool, 8), make(chan bool)
-	list := fleet(t, func(x *standin.Exchange) {
-		x.Head()
-		x.Token("one")
-		open <- true
-		<-goOn
-		x.End()
-	})
+	act, open, goOn := held()
+	list := fleet(t, act)
 	chat, listen, state := freeAddr(t), freeAddr(t), filepath.Join(t.TempDir(), "state")
 	first := site(t, "first", chat, listen, list)
 	do := func(want int, args ...string) string {
--- a/cmd/standpulley/main_test.go
+++ b/cmd/standpulley/main_test.go
@@ -102,6 +102,18 @@
 	return list
 }
 
+// held is a writer's script that stops after the first event: open tells that it came there, goOn lets it end.
+func held() (act func(*standin.Exchange), open, goOn chan bool) {
+	open, goOn = make(chan bool, 8), make(chan bool)
+	return func(x *standin.Exchange) {
+		x.Head()
+		x.Token("one")
+		open <- true
+		<-goOn
+		x.End()
+	}, open, goOn
+}
+
 func request(addr string, n int) string {
 	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: %s\r\nX-Trace-Id: %016x\r\nX-Qos: instruction\r\n"+
 		"X-Expires-In: 5000m\r\nX-Props: prompt_len=10,max_out=10\r\nContent-Length: 2\r\n\r\n{}", addr, n)
@@ -136,14 +148,8 @@
 
 // The whole life on the platform: start, serve, SIGTERM while a request is open, a late connection, exit.
 func TestProgramFromStartToExit(t *testing.T) {
-	open, goOn := make(chan bool, 8), make(chan bool)
-	list := fleet(t, func(x *standin.Exchange) {
-		x.Head()
-		x.Token("one")
-		open <- true
-		<-goOn
-		x.End()
-	})
+	act, open, goOn := held()
+	list := fleet(t, act)
 	agent, err := standin.StartAgent("127.0.0.1:0", list...)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/appliance/appliance_test.go
+++ b/internal/appliance/appliance_test.go
@@ -64,12 +64,7 @@
 	if _, err := dir.Apply(operators(t, `"at_most_once"`, `"maybe"`)); err == nil || !strings.Contains(err.Error(), "settings.services.1.repeat") {
 		t.Errorf("got %v", err)
 	}
-	ln, err := dir.Listen()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	go Serve(ln, unwilling{})
+	run(t, dir)
 	if _, err := dir.Apply(operators(t, "branch-1", "branch-2")); err == nil || !strings.Contains(err.Error(), "port taken") {
 		t.Errorf("got %v", err)
 	}
@@ -84,6 +79,17 @@
 	}
 }
 
+// run answers consoles on a folder for as long as the test lasts.
+func run(t *testing.T, dir Dir) {
+	t.Helper()
+	ln, err := dir.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go Serve(ln, unwilling{})
+}
+
 // unwilling is a program that can't take up a configuration.
 type unwilling struct{}
 
@@ -100,12 +106,7 @@
 	if _, err := dir.State(); !errors.Is(err, errNotRunning) {
 		t.Errorf("got %v", err)
 	}
-	ln, err := dir.Listen()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	go Serve(ln, unwilling{})
+	run(t, dir)
 	r, err := dir.State()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package discovery
+package discovery_test
 
 import (
 	"context"
@@ -6,13 +6,14 @@
 	"testing"
 	"time"
 
+	"standpulley/internal/discovery"
 	"standpulley/internal/dispatch"
 	"standpulley/internal/standin"
 	"standpulley/logic"
 )
 
 func TestDecodeNamesTheFault(t *testing.T) {
-	l, err := Decode([]byte(`{"version":43,"full":false,"servers":[{"id":"s","addr":"a:1","zone":"z","kind":"k","cell":3,
+	l, err := discovery.Decode([]byte(`{"version":43,"full":false,"servers":[{"id":"s","addr":"a:1","zone":"z","kind":"k","cell":3,
 		"state":"terminating","weight":2.5,"started_ms":1500}]}`))
 	if err != nil {
 		t.Fatal(err)
@@ -27,7 +28,7 @@
 		`{"servers":[{"id":"s","state":"in_service"}]}`:        "servers[0]",
 		`{"servers":7}`: "list of replicas",
 	} {
-		if _, err := Decode([]byte(text)); err == nil || !strings.Contains(err.Error(), word) {
+		if _, err := discovery.Decode([]byte(text)); err == nil || !strings.Contains(err.Error(), word) {
 			t.Errorf("%s: %v", text, err)
 		}
 	}
@@ -45,7 +46,7 @@
 	told := make(chan dispatch.Update, 8)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	w := &Watcher{Addr: a.Addr, Index: 77, Tell: func(u dispatch.Update) { told <- u }}
+	w := &discovery.Watcher{Addr: a.Addr, Index: 77, Tell: func(u dispatch.Update) { told <- u }}
 	go func() { w.Run(ctx); close(ended) }()
 	if u := <-told; !u.Full || len(u.Servers) != 1 {
 		t.Errorf("got %+v", u)
--- a/internal/front/chat/chat_test.go
+++ b/internal/front/chat/chat_test.go
@@ -110,6 +110,19 @@
 	}
 }
 
+// Guards: servers that know one stage only, as plain servers of the API do, stand behind the same core and rules.
+func TestPlainServers(t *testing.T) {
+	rig, addr := start(t, nil, func(x *standin.Exchange) { x.Answer("one ", "stage") })
+	c, err := sdk(addr).Chat.Completions.New(context.Background(), params("act"))
+	if err != nil || c.Choices[0].Message.Content != "one stage" || rig.Runs() != 1 {
+		t.Errorf("got %v, %v after %d sends", c, err, rig.Runs())
+	}
+	broken, addr := start(t, nil, func(x *standin.Exchange) { x.Break() })
+	if _, err := sdk(addr).Chat.Completions.New(context.Background(), params("act")); err == nil || broken.Runs() != 1 {
+		t.Errorf("got %v after %d sends", err, broken.Runs())
+	}
+}
+
 // Guards: replicas may end a whole stream without [DONE], which libraries of the API wait for.
 func TestDoneIsAddedWhereItLacks(t *testing.T) {
 	_, addr := start(t, fronttest.Read, func(x *standin.Exchange) {
--- a/internal/fronttest/rig.go
+++ b/internal/fronttest/rig.go
@@ -19,7 +19,7 @@
 	return logic.Settings{Siblings: 1, Zone: "z", MaxAttempts: 4, CanCancel: true, MaxRetryAfter: 2 * time.Second,
 		ReleaseWithin: 500 * time.Millisecond, ColdFrom: 0.3, RampTime: 10 * time.Second, FallMultiple: 2.5,
 		FallTime: 3 * time.Second, ConnIdle: 30 * time.Second, ConnectTimeout: 250 * time.Millisecond,
-		Kinds: []logic.Kind{{Name: "reader", Role: logic.Reader, MemoryTokens: 1e5}, {Name: "writer", Role: logic.Writer, MemoryTokens: 1e5}},
+		Kinds: []logic.Kind{{Name: "reader", Role: logic.Reader, MemoryTokens: 1e5}, {Name: "writer", Role: logic.Writer, MemoryTokens: 1e5}, {Name: "mixed", Role: logic.Mixed, MemoryTokens: 1e5}},
 		Classes: []logic.Class{
 			{Name: "enquiry", Aim: time.Second, Deadline: 3 * time.Second, TokenAim: 60 * time.Millisecond, Worth: 3, Repeat: logic.Safe},
 			{Name: "instruction", Aim: time.Second, Deadline: 3 * time.Second, TokenAim: 60 * time.Millisecond, Worth: 2, Repeat: logic.Unsafe},
@@ -34,7 +34,8 @@
 	Writers []*standin.Replica
 }
 
-// Start runs a core whose reader plays read and whose writers play one of writes each.
+// Start runs a core whose reader plays read and whose writers play one of writes each. Without a reader they are
+// mixed servers, as plain servers of a chat API are: they read and answer by themselves.
 func Start(t *testing.T, read func(*standin.Exchange), writes ...func(*standin.Exchange)) *Rig {
 	t.Helper()
 	r := &Rig{}
@@ -49,11 +50,13 @@
 			ID: id, Zone: "z", Kind: kind, Cell: 1, Weight: 1}})
 		return s
 	}
+	kind := "mixed"
 	if read != nil {
+		kind = "writer"
 		r.Reader = add("r", "reader", read)
 	}
 	for i, w := range writes {
-		r.Writers = append(r.Writers, add(string(rune('a'+i)), "writer", w))
+		r.Writers = append(r.Writers, add(string(rune('a'+i)), kind, w))
 	}
 	set := Settings()
 	r.Pool = replica.NewPool(64, set.ConnIdle, set.ConnectTimeout)
--- a/internal/standin/agent.go
+++ b/internal/standin/agent.go
@@ -8,19 +8,12 @@
 
 	jsoniter "github.com/json-iterator/go"
 	"github.com/valyala/fasthttp"
+
+	"standpulley/internal/discovery"
 )
 
 // Entry is one replica as discovery lists it.
-type Entry struct {
-	ID        string  `json:"id"`
-	Addr      string  `json:"addr"`
-	Zone      string  `json:"zone"`
-	Kind      string  `json:"kind"`
-	Cell      int64   `json:"cell"`
-	State     string  `json:"state"`
-	Weight    float64 `json:"weight"`
-	StartedMS int64   `json:"started_ms"`
-}
+type Entry = discovery.Entry
 
 // Agent is a discovery agent whose list is set by the story.
 type Agent struct {
@@ -28,7 +21,7 @@
 
 	ln      net.Listener
 	mu      sync.Mutex
-	version int
+	version int64
 	list    []Entry
 	changed chan struct{} // closed when the list changes
 	asked   []string      // the queries so far
@@ -72,9 +65,9 @@
 	}
 	a.mu.Lock()
 	a.asked = append(a.asked, string(ctx.QueryArgs().QueryString()))
-	index, watch := 0, ctx.QueryArgs().Has("index")
+	index, watch := int64(0), ctx.QueryArgs().Has("index")
 	if watch {
-		index, _ = strconv.Atoi(string(ctx.QueryArgs().Peek("index"))) // 0 is older than any list
+		index, _ = strconv.ParseInt(string(ctx.QueryArgs().Peek("index")), 10, 64) // 0 is older than any list
 	}
 	changed := a.changed
 	if watch && index >= a.version {
@@ -85,11 +78,7 @@
 		}
 		a.mu.Lock()
 	}
-	reply := struct {
-		Version int     `json:"version"`
-		Full    bool    `json:"full"`
-		Servers []Entry `json:"servers"`
-	}{a.version, a.version > index, nil}
+	reply := discovery.List{Version: a.version, Full: a.version > index}
 	if reply.Full {
 		reply.Servers = a.list
 	}
