Bound what a flood may hold: bodies of ended requests, release calls, collected answers

Cause: dispatch.admit's timer kept a request, and with it a body of up to 256 KiB, until its deadline, also long after it was refused: at 100 refusals a second of such bodies 10 s hold 256 MB of the 192. Found by reading; ruled out the table itself (bounded by maxOpen).

--- a/cmd/standpulley/serve.go
+++ b/cmd/standpulley/serve.go
@@ -74,7 +74,7 @@
 		s.heard <- struct{}{}
 		return s, nil
 	}
-	watcher := &discovery.Watcher{Addr: cfg.Discovery, Index: cfg.Known.Version, Tell: func(u dispatch.Update) {
+	watcher := &discovery.Watcher{Addr: cfg.Discovery, Tell: func(u dispatch.Update) {
 		s.core.Tell(u)
 		select {
 		case s.heard <- struct{}{}:
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -46,7 +46,7 @@
 	told := make(chan dispatch.Update, 8)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	w := &discovery.Watcher{Addr: a.Addr, Index: 77, Tell: func(u dispatch.Update) { told <- u }}
+	w := &discovery.Watcher{Addr: a.Addr, Tell: func(u dispatch.Update) { told <- u }}
 	go func() { w.Run(ctx); close(ended) }()
 	if u := <-told; !u.Full || len(u.Servers) != 1 {
 		t.Errorf("got %+v", u)
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -24,9 +24,10 @@
 
 // Watcher follows the agent at Addr and hands each list to Tell.
 type Watcher struct {
-	Addr  string
-	Tell  func(dispatch.Update)
-	Index int64 // version of the list that is known already
+	Addr string
+	Tell func(dispatch.Update)
+
+	index int64 // version of the last list
 
 	mu   sync.Mutex // guards conn, which the end of the context closes from outside
 	conn net.Conn
@@ -42,7 +43,7 @@
 	for ctx.Err() == nil {
 		path, limit := "/api/targets", replyLimit
 		if !whole {
-			path = fmt.Sprintf("/api/targets?index=%d&wait=%d", w.Index, watchWait.Milliseconds())
+			path = fmt.Sprintf("/api/targets?index=%d&wait=%d", w.index, watchWait.Milliseconds())
 			limit += watchWait
 		}
 		list, err := w.call(path, limit)
@@ -57,7 +58,7 @@
 		if list.Full || len(list.Servers) > 0 {
 			w.Tell(list.Update())
 		}
-		w.Index, whole = list.Version, false
+		w.index, whole = list.Version, false
 	}
 }
 
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -42,12 +42,13 @@
 	switch {
 	case r.class == nil:
 		d.answer(r, Answer{Verdict: Failed, Reason: "unknown class"})
-		return
 	case d.requests[r.id] != nil:
 		d.answer(r, Answer{Verdict: Failed, Reason: "a request with this id is open"})
-		return
 	case len(d.requests) >= d.maxOpen:
 		d.answer(r, Answer{Verdict: Refused, After: fullAfter, Reason: "too many requests are open"})
+	}
+	if r.answered {
+		r.parcel = nil
 		return
 	}
 	r.out = map[int]*attempt{}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -121,6 +121,9 @@
 	if none(t, k); len(p.sent) != 2 || s.closed || len(d.requests) != 0 {
 		t.Errorf("%d sends, closed %v, %d kept", len(p.sent), s.closed, len(d.requests))
 	}
+	if k.r.parcel != nil { // timers know a request until its deadline: a flood of bodies would fill the memory
+		t.Error("the body is kept after the end")
+	}
 }
 
 // Guards: a stream that begins after the final answer, or after its attempt was given up, reaches nobody.
--- a/internal/front/chat/collect.go
+++ b/internal/front/chat/collect.go
@@ -12,7 +12,7 @@
 )
 
 // maxAnswer bounds an answer that is put together for a client that wants no stream.
-const maxAnswer = 4 << 20
+const maxAnswer = 256 << 10
 
 // completion is the answer of the API in one piece.
 type completion struct {
--- a/internal/replica/release.go
+++ b/internal/replica/release.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"log"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -12,22 +13,30 @@
 const (
 	releaseTry  = 100 * time.Millisecond // a replica that has not answered by then is passed over
 	releaseMost = 64                     // calls under way at once
+	releaseWait = 1024                   // and waiting; beyond that replicas free what they hold by themselves, later
 )
 
 // Releaser makes the calls that let go of what replicas hold for a request.
 type Releaser struct {
 	pool *Pool
 	room chan struct{}
+	open atomic.Int64 // calls under way or waiting
 }
 
 // NewReleaser makes calls on the pool's connections.
 func NewReleaser(pool *Pool) *Releaser {
-	return &Releaser{pool, make(chan struct{}, releaseMost)}
+	return &Releaser{pool: pool, room: make(chan struct{}, releaseMost)}
 }
 
 // Release asks the replicas in turn until one has answered: each of them can release everything.
 func (l *Releaser) Release(id string, addrs []string) {
+	if l.open.Add(1) > releaseMost+releaseWait {
+		l.open.Add(-1)
+		log.Printf("release %s: too many calls wait", id)
+		return
+	}
 	go func() {
+		defer l.open.Add(-1)
 		l.room <- struct{}{}
 		defer func() { <-l.room }()
 		for _, addr := range addrs {
@@ -42,7 +51,7 @@
 
 // AwaitIdle returns when no call is under way, or when ctx ends.
 func (l *Releaser) AwaitIdle(ctx context.Context) {
-	for len(l.room) > 0 && ctx.Err() == nil {
+	for l.open.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(5 * time.Millisecond)
 	}
 }
