--- a/internal/appliance/plan.go
+++ b/internal/appliance/plan.go
@@ -59,7 +59,7 @@
 	if desired, err = os.ReadFile(file); err != nil {
 		return nil, nil, err
 	}
-	if _, err = config.Parse(desired, os.Getenv); err != nil {
+	if _, err = config.ParseStrict(desired, os.Getenv); err != nil {
 		return nil, nil, fmt.Errorf("%s: %w", file, err)
 	}
 	now, err := os.ReadFile(d.active())
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -69,6 +69,16 @@
 	return Parse(text, os.Getenv)
 }
 
+var strict = jsoniter.Config{DisallowUnknownFields: true}.Froze()
+
+// ParseStrict reads an operator's file, in which a key that is not known is a slip. The platform's may hold more.
+func ParseStrict(text []byte, env func(string) string) (Config, error) {
+	if err := strict.Unmarshal(text, &file{}); err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	return Parse(text, env)
+}
+
 // Parse reads a configuration; env gives what the file lacks.
 func Parse(text []byte, env func(string) string) (Config, error) {
 	var f file
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// Guards: a slip in an operator's file would be passed over in silence.
+func TestUnknownKeysOfAnOperatorsFile(t *testing.T) {
+	text := []byte(strings.Replace(good, `"name":"n0"`, `"name":"n0","chatt":{}`, 1))
+	if _, err := Parse(text, none); err != nil {
+		t.Errorf("the platform's file may hold more: %v", err)
+	}
+	if _, err := ParseStrict(text, none); err == nil || !strings.Contains(err.Error(), "chatt") {
+		t.Errorf("got %v", err)
+	}
+	if _, err := ParseStrict([]byte(good), none); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestEnvironmentStandsIn(t *testing.T) {
 	text := strings.Replace(good, `"listen":"127.0.0.1:1",`, ``, 1)
 	c, err := Parse([]byte(text), func(key string) string { return map[string]string{"EDGE_LISTEN": "127.0.0.1:9"}[key] })
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -84,6 +84,8 @@
 		}
 	case p == models && ctx.IsGet():
 		f.list(ctx)
+	case p == "/-/ready":
+		front.Ready(ctx, f.core)
 	case p == path || p == models:
 		f.fail(ctx, &fault{fasthttp.StatusMethodNotAllowed, "method_not_allowed", "", "the method is not allowed here"})
 	default:
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -167,7 +167,7 @@
 		},
 		Concurrency: conns, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		Logger: quiet{}, CloseOnShutdown: true, ReadBufferSize: 8 << 10, WriteBufferSize: 4 << 10,
+		DisablePreParseMultipartForm: true, Logger: quiet{}, CloseOnShutdown: true, ReadBufferSize: 8 << 10, WriteBufferSize: 4 << 10,
 		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
 			if c, ok := ctx.Conn().(*Conn); ok {
 				c.linger = true
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"standpulley/internal/dispatch"
 )
 
 const maxID = 64
@@ -26,3 +28,10 @@
 func RetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
 	ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(max(after, 0).Seconds(), 'f', 3, 64))
 }
+
+// Ready answers whether the program takes requests: 200, or 503 with its phase.
+func Ready(ctx *fasthttp.RequestCtx, core *dispatch.Dispatcher) {
+	if phase := core.Phases.Now(); phase != dispatch.Ready {
+		ctx.Error(phase.String(), fasthttp.StatusServiceUnavailable)
+	}
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -51,9 +51,7 @@
 	received := time.Now()
 	switch string(ctx.Path()) {
 	case "/-/ready":
-		if f.core.Phases.Now() != dispatch.Ready {
-			ctx.Error(f.core.Phases.Now().String(), fasthttp.StatusServiceUnavailable)
-		}
+		front.Ready(ctx, f.core)
 		return
 	case "/v1/chat/completions":
 	default:
