--- a/internal/front/chat/chat_test.go
+++ b/internal/front/chat/chat_test.go
@@ -246,6 +246,10 @@
 		if n := rig.Runs(); n != 1 {
 			t.Errorf("%s: %d sends to writers", model, n)
 		}
+		want := map[string]int{"ask": 502, "act": statusMayHaveRun}[model]
+		if resp, body := post(t, addr, one(model, false)); resp.StatusCode != want || rig.Runs() != 2 {
+			t.Errorf("%s in one piece: %d %s after %d sends in all", model, resp.StatusCode, body, rig.Runs())
+		}
 	}
 }
 
