--- a/cmd/standpulley/main.go
+++ b/cmd/standpulley/main.go
@@ -36,7 +36,7 @@
 	if len(os.Args) < 2 {
 		cfg, err := config.FromEnvironment()
 		if err == nil {
-			err = serve(cfg, signals(), nil)
+			err = logged(func() error { return serve(cfg, signals(), nil) })
 		}
 		if err != nil {
 			log.Fatalf("standpulley: %v", err)
@@ -54,6 +54,16 @@
 	os.Exit(code)
 }
 
+// logged runs a server whose log never makes it wait.
+func logged(run func() error) error {
+	w := newLogWriter(os.Stderr)
+	log.SetOutput(w)
+	err := run()
+	log.SetOutput(os.Stderr)
+	w.Close()
+	return err
+}
+
 func signals() <-chan os.Signal {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
@@ -77,7 +87,7 @@
 	}
 	switch name {
 	case "run":
-		return 0, runAppliance(dir)
+		return 0, logged(func() error { return runAppliance(dir) })
 	case "plan":
 		changes, err := dir.Plan(file)
 		if err != nil {
