--- a/logic/logic.go
+++ b/logic/logic.go
@@ -564,7 +564,10 @@
 		return 0, false // nothing is refused before a rate is learned
 	}
 	aim := aimShare * l.aimOf(r)
-	wait, least := l.atWriters(r)
+	wait, least := math.Inf(1), math.Inf(1)
+	for _, s := range l.candidates(r, false) {
+		wait, least = min(wait, l.startWait(s)), min(least, l.load(s))
+	}
 	wait += c.wait
 	room := max(aim-c.read, aim/2) // its own long read never refuses it
 	if over {
@@ -577,20 +580,6 @@
 	return time.Duration(pause * float64(time.Second)), true
 }
 
-// atWriters gives the writers' wait for a first token and their least load. The wait is the mean: the writer that
-// is chosen after the read is rarely the one that waits the least now, as all routers fill that one meanwhile.
-func (l *Router) atWriters(r *request) (wait, least float64) {
-	writers := l.candidates(r, false)
-	if len(writers) == 0 {
-		return math.Inf(1), math.Inf(1)
-	}
-	least = math.Inf(1)
-	for _, s := range writers {
-		wait, least = wait+l.startWait(s), min(least, l.load(s))
-	}
-	return wait / float64(len(writers)), least
-}
-
 // inPlace finds a server to read and answer a request whole where the readers' queue would refuse it: a
 // mixed one, else a writer that reads in place, with room and no longer a queue of them than the aim allows.
 func (l *Router) inPlace(r *request) *server {
