--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -71,6 +72,19 @@
 	}
 }
 
+// Guards: the files that the README names must be ones that the program takes.
+func TestFilesOfTheRepository(t *testing.T) {
+	for _, path := range []string{"../../deploy/chat.json", "../../example/config.json"} {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c, err := ParseStrict(text, none); err != nil || c.Chat.Listen == "" || len(c.Settings.Classes) != 2 {
+			t.Errorf("%s: %+v, %v", path, c, err)
+		}
+	}
+}
+
 func TestEnvironmentStandsIn(t *testing.T) {
 	text := strings.Replace(good, `"listen":"127.0.0.1:1",`, ``, 1)
 	c, err := Parse([]byte(text), func(key string) string { return map[string]string{"EDGE_LISTEN": "127.0.0.1:9"}[key] })
--- a/internal/front/chat/chat_test.go
+++ b/internal/front/chat/chat_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -253,6 +254,73 @@
 	}
 }
 
+// Guards: whatever goes wrong at the replicas, each instruction runs once at most and each request taken has one final
+// outcome, also with a library that repeats by itself.
+func TestNoInstructionRunsTwice(t *testing.T) {
+	scripts := []func(*standin.Exchange){
+		func(x *standin.Exchange) { x.Answer("ok") },
+		func(x *standin.Exchange) { x.Break() },
+		func(x *standin.Exchange) { x.Status(500, false, "") },
+		func(x *standin.Exchange) { x.Head(); x.Token("half"); x.Break() },
+		func(x *standin.Exchange) { x.Head(); x.Token("half"); x.Gone() },
+	}
+	const requests = 20
+	var mu sync.Mutex
+	runs, turned := map[int]int{}, map[int]bool{}
+	act := func(x *standin.Exchange) {
+		var n int
+		text := string(x.Req.Body())
+		if _, err := fmt.Sscanf(text[strings.Index(text, "pay #"):], "pay #%d", &n); err != nil {
+			t.Error(err)
+		}
+		mu.Lock()
+		turnAway := n%2 == 0 && !turned[n] // every other one is turned away first, which proves that it never ran
+		turned[n] = true
+		if !turnAway {
+			runs[n]++
+		}
+		mu.Unlock()
+		if turnAway {
+			x.Status(503, true, "")
+			return
+		}
+		scripts[n%len(scripts)](x)
+	}
+	rig, addr := start(t, fronttest.Read, act, act, act)
+	var wg sync.WaitGroup
+	for n := range requests {
+		wg.Go(func() {
+			q := params("act")
+			q.Messages[1] = openai.UserMessage(fmt.Sprintf("pay #%d", n))
+			if n%4 < 2 {
+				_, _ = sdk(addr).Chat.Completions.New(context.Background(), q) // what counts is what ran
+				return
+			}
+			for s := sdk(addr).Chat.Completions.NewStreaming(context.Background(), q); s.Next(); {
+			}
+		})
+	}
+	wg.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	for n, times := range runs {
+		if times > 1 {
+			t.Errorf("instruction %d ran %d times", n, times)
+		}
+	}
+	if len(runs) == 0 {
+		t.Error("none ran")
+	}
+	totals, _ := rig.Core.Counts.Snapshot()
+	final := 0
+	for _, count := range totals.Verdicts {
+		final += count
+	}
+	if final != totals.Taken || totals.Taken < requests {
+		t.Errorf("%d taken, final outcomes %v", totals.Taken, totals.Verdicts)
+	}
+}
+
 // Guards: an enquiry may be repeated, and its client sees nothing of it.
 func TestEnquiryIsSentAgain(t *testing.T) {
 	act := first(func(x *standin.Exchange) { x.Break() }, func(x *standin.Exchange) { x.Answer("ok") })
