--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -176,15 +176,15 @@
 		text string
 		kept int // connections
 	}{
-		"plain":          {good, 1},
-		"100":            {"HTTP/1.1 100 Continue\r\n\r\n" + good, 1},
-		"103 and 102":    {"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + good, 1},
-		"odd report":     {head + "X-Load: {{\xff\xfe;;=,\r\n\r\n" + good[len(head)+2:], 1},
-		"extension":      {head + "\r\nA;a=\"b\"\r\ndata: {}\n\n\r\n" + event + "000;x\r\n\r\n", 1},
-		"trailer":        {head + "\r\n" + event + event + "0\r\nX-T: 1\r\n\r\n", 1},
-		"close":          {head + "Connection: close\r\n\r\n" + good[len(head)+2:], 0},
-		"bytes after":    {good + "junk", 0},
-		"second answer":  {good + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0},
+		"plain":         {good, 1},
+		"100":           {"HTTP/1.1 100 Continue\r\n\r\n" + good, 1},
+		"103 and 102":   {"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + good, 1},
+		"odd report":    {head + "X-Load: {{\xff\xfe;;=,\r\n\r\n" + good[len(head)+2:], 1},
+		"extension":     {head + "\r\nA;a=\"b\"\r\ndata: {}\n\n\r\n" + event + "000;x\r\n\r\n", 1},
+		"trailer":       {head + "\r\n" + event + event + "0\r\nX-T: 1\r\n\r\n", 1},
+		"close":         {head + "Connection: close\r\n\r\n" + good[len(head)+2:], 0},
+		"bytes after":   {good + "junk", 0},
+		"second answer": {good + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0},
 	} {
 		pool := NewPool(4, 0, 0)
 		rep, _ := send(pool, replicaOf(t, say(c.text, "")).Addr, 5*time.Second, "b")
