--- a/cmd/standpulley/main_test.go
+++ b/cmd/standpulley/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -202,3 +203,90 @@
 		t.Errorf("%v: %s", err, out)
 	}
 }
+
+// Guards: SIGHUP ended the process. It puts the file in force as it is now: a faulty one changes nothing, and where
+// only discovery differs, streams, connections and what was learned stay. Neither a silent agent nor several signals
+// nor a stop right after them may hurt.
+func TestReloadUnderLoad(t *testing.T) {
+	act, open, goOn := held()
+	list := fleet(t, act)
+	first, err := standin.StartAgent("127.0.0.1:0", list...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(first.Close)
+	// The second agent knows another writer in place of the first one.
+	next := fleet(t, func(x *standin.Exchange) { x.Answer("two") })
+	for i := range next {
+		if next[i].ID == "writer" {
+			next[i].ID = "writer-2"
+		} else {
+			next[i] = list[slices.IndexFunc(list, func(e standin.Entry) bool { return e.ID == "reader" })]
+		}
+	}
+	second, err := standin.StartAgent("127.0.0.1:0", next...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(second.Close)
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // it accepts and never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	write := func(discovery, settings string) {
+		t.Helper()
+		text := fmt.Sprintf(`{"name":"n0","seed":"1","listen":%q,"discovery":%q,"settings":%s}`, addr, discovery, settings)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(first.Addr, settings)
+	cmd, out := start(t, []string{"EDGE_CONFIG=" + path})
+	hup := func(said string, times int) {
+		t.Helper()
+		before := strings.Count(out.String(), said)
+		for range times {
+			if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+		}
+		wait(t, said, func() bool { return strings.Count(out.String(), said) > before })
+	}
+	wait(t, "a ready program", func() bool { return strings.Contains(out.String(), "ready") })
+	running := ask(t, addr, 1)
+	<-open
+
+	write("nowhere", settings)
+	hup("key discovery", 1)
+	write(silent.Addr().String(), settings)
+	hup("discovery is at", 5)
+	write(second.Addr, settings)
+	hup("discovery is at \""+second.Addr, 3)
+	wait(t, "the list of the second agent", func() bool { return strings.Contains(out.String(), "list: writer-2") })
+	if text := answered(t, ask(t, addr, 2)); !strings.Contains(text, "two") {
+		t.Errorf("served by %q", text)
+	}
+	if n := strings.Count(out.String(), "n0: ready"); n != 1 {
+		t.Errorf("%d starts where one stack should go on", n)
+	}
+	write(second.Addr, strings.Replace(settings, `"try_limit":4`, `"try_limit":5`, 1)) // this takes a new stack
+	hup("n0: ready", 1)
+	if text := answered(t, ask(t, addr, 3)); !strings.Contains(text, "two") {
+		t.Errorf("after new settings: served by %q", text)
+	}
+	write(first.Addr, settings)
+	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		if err := cmd.Process.Signal(sig); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(goOn)
+	if text := answered(t, running); !strings.HasSuffix(text, "[DONE]\n\n") {
+		t.Errorf("the stream that ran through it all: %q", text)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v\n%s", err, out)
+	}
+}
