Leave nothing for SIGKILL to find, avoid writers that err, forget servers that are gone

Now streams are moved, where the site's clients resume, 2.5 s after SIGTERM, unanswered requests get their answer then, and open connections may be used until 1.5 s.

--- a/cmd/standpulley/serve.go
+++ b/cmd/standpulley/serve.go
@@ -23,15 +23,19 @@
 )
 
 const (
-	memoryShare   = 0.7                    // of the limit that Go may use before it collects harder
-	clientShare   = 0.45                   // of the sockets, for clients of all fronts together
-	replicaShare  = 0.4                    // and for replicas; the rest is for discovery, files and the console
-	firstList     = 500 * time.Millisecond // how long a start waits for discovery, as what is known may be old
-	acceptLonger  = 450 * time.Millisecond // new connections still come for 0.4 s after SIGTERM
-	acceptedAhead = 50 * time.Millisecond  // and those that the machine has accepted are not lost
-	handOver      = 2 * time.Second        // connections of the configuration before may still be used
-	releaseAhead  = time.Second            // what is held is let go before the exit, if that takes no longer
-	openPerMB     = 2                      // open requests for each MB, as each has a body of up to 256 KiB
+	memoryShare   = 0.7                     // of the limit that Go may use before it collects harder
+	clientShare   = 0.45                    // of the sockets, for clients of all fronts together
+	replicaShare  = 0.4                     // and for replicas; the rest is for discovery, files and the console
+	firstList     = 500 * time.Millisecond  // how long a start waits for discovery, as what is known may be old
+	acceptLonger  = 450 * time.Millisecond  // new connections still come for 0.4 s after SIGTERM
+	acceptedAhead = 50 * time.Millisecond   // and those that the machine has accepted are not lost
+	handOver      = 2 * time.Second         // connections of the configuration before may still be used
+	killedAfter   = 700 * time.Millisecond  // SIGKILL follows SIGTERM no sooner than the longest deadline and this ...
+	killedAtMost  = 3 * time.Second         // ... with a longer deadline counted as this
+	vacatedAhead  = 1200 * time.Millisecond // so much sooner nothing may be left: clients need time to come back elsewhere
+	keepOpen      = 1500 * time.Millisecond // after SIGTERM clients may use the connections that they have
+	releaseAhead  = time.Second             // what is held is let go before the exit, if that takes no longer
+	openPerMB     = 2                       // open requests for each MB, as each has a body of up to 256 KiB
 )
 
 // stack is all that serves one configuration: a core, its discovery and its fronts.
@@ -122,6 +126,11 @@
 // finish answers what was taken, lets go of what is held and ends the stack. Its ports are closed, or another
 // stack's by now.
 func (s *stack) finish() error {
+	if s.core.Phases.Now() < dispatch.Leaving {
+		if err := s.core.Phases.Enter(dispatch.Leaving); err != nil {
+			return err
+		}
+	}
 	for addr, server := range s.fronts {
 		if err := server.Shutdown(); err != nil { // returns when its connections are done
 			log.Printf("front at %s: %v", addr, err)
@@ -136,6 +145,16 @@
 	return s.core.Phases.Enter(dispatch.Stopped)
 }
 
+// vacateBy is how long after SIGTERM requests and streams may go on. SIGKILL would cut what is left, and clients
+// would come back to a dispatcher that is gone.
+func (s *stack) vacateBy() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range s.cfg.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, killedAtMost) + killedAfter - vacatedAhead
+}
+
 // program is the process: the stack in force and the ports that outlive it.
 type program struct {
 	ports    map[string]*front.Port
@@ -200,7 +219,7 @@
 			go port.Finish(acceptedAhead)
 		}
 	}
-	if err := before.core.Phases.Enter(dispatch.Draining); err != nil {
+	if err := before.core.Phases.Enter(dispatch.Leaving); err != nil {
 		return err
 	}
 	p.old.Add(1)
@@ -210,6 +229,7 @@
 		select {
 		case <-time.After(handOver):
 		case <-p.draining:
+			time.AfterFunc(before.vacateBy(), before.core.Vacate)
 			time.Sleep(acceptLonger)
 		}
 		if err := before.finish(); err != nil {
@@ -225,6 +245,8 @@
 		return err
 	}
 	close(p.draining)
+	told := time.Now()
+	time.AfterFunc(p.now.vacateBy(), p.now.core.Vacate)
 	log.Print("draining")
 	time.Sleep(acceptLonger)
 	done := make(chan struct{})
@@ -237,6 +259,7 @@
 	for range p.ports {
 		<-done
 	}
+	time.Sleep(time.Until(told.Add(min(keepOpen, p.now.vacateBy()))))
 	err := p.now.finish()
 	p.old.Wait()
 	log.Print("stopped")
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -14,6 +14,7 @@
 	deadline time.Time
 	class    *logic.Class
 	parcel   Parcel
+	resumes  bool
 	ticket   *Ticket
 	answered bool
 	verdict  Verdict
@@ -62,9 +63,14 @@
 // overtime answers a request that the module has not answered by its deadline.
 func (d *Dispatcher) overtime(r *request) {
 	if !r.answered {
-		d.answer(r, Answer{Verdict: Failed, Reason: "deadline"})
-		d.cancelAll(r)
-		d.route(logic.Event{Kind: logic.Departed, RequestID: r.id})
-		d.settle(r)
+		d.giveUp(r, Answer{Verdict: Failed, Reason: "deadline"})
 	}
 }
+
+// giveUp answers a request over the module's head, which is told that it has gone.
+func (d *Dispatcher) giveUp(r *request, a Answer) {
+	d.answer(r, a)
+	d.cancelAll(r)
+	d.route(logic.Event{Kind: logic.Departed, RequestID: r.id})
+	d.settle(r)
+}
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -22,7 +22,7 @@
 	delete(r.out, at.n)
 	out := e.res.Outcome
 	if !neverRan(out) {
-		if at.dropped && !at.given {
+		if at.dropped && at.stream == nil {
 			out = logic.Cancelled
 		}
 		if at.role == logic.Reader {
@@ -51,10 +51,7 @@
 	if g.r.answered {
 		return
 	}
-	d.answer(g.r, Answer{Verdict: Left})
-	d.cancelAll(g.r)
-	d.route(logic.Event{Kind: logic.Departed, RequestID: g.r.id})
-	d.settle(g.r)
+	d.giveUp(g.r, Answer{Verdict: Left})
 }
 
 // settle forgets a request that is answered and has no attempt out.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -246,3 +246,40 @@
 		t.Errorf("%d lines, %v to %v", len(lines), lines[0], lines[len(lines)-1])
 	}
 }
+
+// Guards: SIGKILL would find what is still open. Streams are moved where their clients ask for the rest, and what
+// is unanswered gets its answer.
+func TestVacate(t *testing.T) {
+	d, _ := core(t, 9)
+	streams := map[string]*closing{}
+	for _, id := range []string{"resumes", "stays"} {
+		k, p := take(d, id, "safe")
+		k.r.resumes = id == "resumes"
+		end(d, p, logic.ReadDone)
+		streams[id] = &closing{done: make(chan bool)}
+		p.sent[1].tell.Began(streams[id])
+		drive(d)
+	}
+	waiting, _ := take(d, "waiting", "unsafe")
+	running, p := take(d, "running", "unsafe")
+	end(d, p, logic.ReadDone)
+	d.Vacate()
+	drive(d)
+	if a := answerOf(t, waiting); a.Verdict != Refused || a.After == 0 {
+		t.Errorf("what never ran: %+v", a)
+	}
+	if a := answerOf(t, running); a.Verdict != Failed {
+		t.Errorf("what may run: %+v", a)
+	}
+	<-streams["resumes"].done
+	select {
+	case <-streams["stays"].done:
+		t.Error("a stream was cut whose client does not ask for the rest")
+	default:
+	}
+}
+
+type closing struct{ done chan bool }
+
+func (c *closing) Next() ([]byte, error) { return nil, io.EOF }
+func (c *closing) Close()                { close(c.done) }
--- a/internal/dispatch/phase.go
+++ b/internal/dispatch/phase.go
@@ -12,12 +12,13 @@
 const (
 	Starting Phase = iota // not yet open to clients
 	Ready                 // serving
-	Draining              // told to stop: what comes is still served, connections are not kept
+	Draining              // told to stop: what comes on connections that are open is still served
+	Leaving               // what was taken is finished, connections are not kept
 	Stopped               // nothing is open any more
 )
 
 func (p Phase) String() string {
-	return [...]string{"starting", "ready", "draining", "stopped"}[p]
+	return [...]string{"starting", "ready", "draining", "leaving", "stopped"}[p]
 }
 
 // Phases holds the program's phase and counts what must be answered before it may stop.
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -5,6 +5,26 @@
 // Began is called by the transport when the first event of an answer is there.
 func (at *attempt) Began(s Stream) { at.d.post(beginning{at, s}) }
 
+// Vacate leaves nothing for a SIGKILL to find: what is unanswered is refused, or fails where it may have run, and
+// streams whose clients then ask for the rest elsewhere end here.
+func (d *Dispatcher) Vacate() { d.post(vacating{}) }
+
+type vacating struct{}
+
+func (vacating) apply(d *Dispatcher) {
+	for _, r := range d.requests {
+		if !r.answered {
+			d.giveUp(r, Answer{Verdict: Refused, Reason: "the program ends"})
+			continue
+		}
+		for _, at := range r.out {
+			if r.resumes && at.stream != nil {
+				go at.stream.Close() // it reports, and the core must not wait for itself
+			}
+		}
+	}
+}
+
 type beginning struct {
 	at     *attempt
 	stream Stream
@@ -19,7 +39,7 @@
 		b.stream.Close()
 		return
 	}
-	at.given = true
+	at.stream = b.stream
 	d.route(logic.Event{Kind: logic.StreamStarted, RequestID: r.id, Server: at.server, Attempt: at.n,
 		Took: d.clock().Sub(at.sentAt)})
 	d.answer(r, Answer{Verdict: Served, Stream: b.stream})
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -15,8 +15,8 @@
 	role    logic.Role
 	sentAt  time.Time
 	out     Attempt
-	given   bool // its stream was handed to the client
-	dropped bool // given up: its stream is no longer wanted
+	stream  Stream // the client's, once it was handed over
+	dropped bool   // given up: its stream is no longer wanted
 }
 
 // send makes an attempt, unless a rule forbids it: then it ends at once as not sent.
@@ -55,7 +55,7 @@
 
 // cancel gives an attempt up, unless its stream belongs to the client already.
 func (at *attempt) cancel() {
-	if !at.given && !at.dropped {
+	if at.stream == nil && !at.dropped {
 		at.dropped = true
 		at.out.Cancel()
 	}
--- a/internal/dispatch/take.go
+++ b/internal/dispatch/take.go
@@ -12,6 +12,7 @@
 	Ask      logic.Request
 	Received time.Time // when its last byte came: its deadline counts from here
 	Parcel   Parcel
+	Resumes  bool // if its stream breaks, the client asks for the rest
 }
 
 // Verdict is the kind of a final answer.
@@ -62,7 +63,7 @@
 // Take hands in a request.
 func (d *Dispatcher) Take(q Request) *Ticket {
 	t := &Ticket{d: d, answer: make(chan Answer, 1), finished: make(chan struct{})}
-	t.r = &request{id: q.ID, ask: q.Ask, received: q.Received, parcel: q.Parcel, ticket: t}
+	t.r = &request{id: q.ID, ask: q.Ask, received: q.Received, parcel: q.Parcel, resumes: q.Resumes, ticket: t}
 	d.Phases.begin()
 	d.post(arrival{t.r})
 	return t
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -171,7 +171,7 @@
 func (quiet) Printf(string, ...any) {}
 
 // NewServer makes the server of a front within its bounds. What can't be read as a request is answered by refuse.
-// While the program drains, each answer is the last on its connection.
+// While the program leaves, each answer is the last on its connection.
 func NewServer(core *dispatch.Dispatcher, handler fasthttp.RequestHandler, refuse func(ctx *fasthttp.RequestCtx, status int, text string),
 	maxBody int) *fasthttp.Server {
 	return &fasthttp.Server{
@@ -186,7 +186,7 @@
 				return
 			}
 			handler(ctx)
-			if core.Phases.Now() >= dispatch.Draining {
+			if core.Phases.Now() >= dispatch.Leaving {
 				ctx.SetConnectionClose()
 			}
 		},
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -128,7 +128,7 @@
 			parcel.Headers = append(parcel.Headers, [2]string{name, string(v)})
 		}
 	}
-	q.Parcel = parcel
+	q.Parcel, q.Resumes = parcel, f.core.Settings().Resume
 	return q, nil
 }
 
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -209,9 +209,15 @@
 	if err := rig.Core.Phases.Enter(dispatch.Draining); err != nil {
 		t.Fatal(err)
 	}
-	if resp, _, _ := answer(t, send(t, addr, get)); resp.StatusCode != 503 || !resp.Close {
+	if resp, _, _ := answer(t, send(t, addr, get)); resp.StatusCode != 503 || resp.Close {
 		t.Errorf("draining: %d, close %v", resp.StatusCode, resp.Close)
 	}
+	if err := rig.Core.Phases.Enter(dispatch.Leaving); err != nil {
+		t.Fatal(err)
+	}
+	if resp, _, _ := answer(t, send(t, addr, get)); resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("leaving: %d, close %v", resp.StatusCode, resp.Close)
+	}
 	if err := rig.Core.Phases.Enter(dispatch.Ready); err == nil {
 		t.Error("a phase was entered twice")
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,6 +32,8 @@
 	backoffFirst       = 1 * time.Second        // a failed server is left alone this long, then twice it ...
 	backoffMost        = 8 * time.Second        // ... up to this
 	errorsInRow        = 3                      // errors in a row that count as a failed server
+	errorDoubt         = 10.0                   // attempts without an error assumed beside those seen
+	errorPrice         = 4.0                    // a writer that always errs counts as so much fuller
 	fullCost           = 20                     // and this many times as long as it took to say so
 	fullPause          = 150 * time.Millisecond // a server that said full is passed over this long
 	retryShare         = 0.2                    // further attempts by choice, as a share of arrivals ...
@@ -135,6 +137,13 @@
 		l.swept = l.now
 		maps.DeleteFunc(l.popular, func(_ uint64, d decayed) bool { return l.now-d.at > keyLife })
 		maps.DeleteFunc(l.tries, func(_ tryKey, at time.Duration) bool { return l.now-at > keyLife })
+		l.order = slices.DeleteFunc(l.order, func(s *server) bool {
+			old := !s.listed && len(s.waiting) == 0 && s.writes == 0 && l.now-s.offAt > keyLife
+			if old { // replaced by others, with other ids
+				delete(l.servers, s.ID)
+			}
+			return old
+		})
 		for k, hs := range l.table { // only drops, so the order does not matter
 			if l.table[k] = slices.DeleteFunc(hs, func(h holding) bool { return !l.live(h) }); len(l.table[k]) == 0 {
 				delete(l.table, k)
@@ -148,7 +157,9 @@
 func (l *Router) learnList(ev *Event) {
 	if ev.Kind == ListComplete {
 		for _, s := range l.order {
-			s.listed = false
+			if s.listed {
+				s.listed, s.offAt = false, l.now
+			}
 		}
 	}
 	for _, e := range ev.Servers {
@@ -166,6 +177,9 @@
 			s.rateAt, s.startAt = 0, 0
 		}
 		s.ServerEntry, s.listed = e, e.Availability == Ready
+		if !s.listed {
+			s.offAt = l.now
+		}
 		if s.Weight <= 0 {
 			s.Weight = 1
 		}
@@ -478,7 +492,7 @@
 	least, draw := math.Inf(1), l.seed^mix(r.seq)
 	loads := make([]float64, len(writers))
 	for i, s := range writers {
-		loads[i] = l.load(s) + tieSpread*unit(draw^s.hash) + nearMargin*(l.startWait(s)+l.toll(r, s))/l.overdue
+		loads[i] = l.load(s) + errorPrice*l.erring(s) + tieSpread*unit(draw^s.hash) + nearMargin*(l.startWait(s)+l.toll(r, s))/l.overdue
 		least = min(least, loads[i])
 	}
 	stay := r.state != nil && unit(draw)*r.state.crowd < 1
@@ -759,8 +773,21 @@
 	}
 }
 
+// erring is the share of attempts that lately ended with an error at a server. Some err now and then for long, and
+// what may run once only is lost there.
+func (l *Router) erring(s *server) float64 {
+	return s.erred.add(l.now, 0, keyLife) / (s.tried.add(l.now, 0, keyLife) + errorDoubt)
+}
+
 // judge draws from an outcome what it tells of the server.
 func (l *Router) judge(r *request, s *server, was phase, ev *Event) {
+	switch ev.Outcome {
+	case ServerError, ConnectionLost:
+		s.erred.add(l.now, 1, keyLife)
+		fallthrough
+	case ReadDone, Delivered:
+		s.tried.add(l.now, 1, keyLife)
+	}
 	switch ev.Outcome {
 	case ReadDone:
 		l.accepted(r, s)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -422,3 +422,82 @@
 		t.Errorf("after 0.6 s: cancel %v, %d failures", a, l.servers["r1"].fails)
 	}
 }
+
+// Guards: what a spoilt answer's writer has taken is gone: the prompt is read anew, and its reader is not to blame.
+func TestStateThatWasTakenIsReadAnew(t *testing.T) {
+	l := newRouter(t, settings(), entry("r1", "r", 1), entry("w1", "w", 1), entry("w2", "w", 1))
+	l.Handle(ms(1), arrival("q", 7, 9), nil)
+	w := find(l.Handle(ms(20), &Event{Kind: Ended, RequestID: "q", Server: "r1", Outcome: ReadDone, Took: ms(19)}, nil), Send)
+	a := find(l.Handle(ms(40), &Event{Kind: Ended, RequestID: "q", Server: w.Server, Attempt: 1, Outcome: ConnectionLost,
+		NoState: true, Took: ms(20)}, nil), Send)
+	if a == nil || a.Server != "r1" {
+		t.Fatalf("after a spoilt answer: %+v, want the reader", a)
+	}
+	// Where it is not known whether the state was taken, another writer is asked, and may find nothing.
+	l.Handle(ms(60), &Event{Kind: Ended, RequestID: "q", Server: "r1", Attempt: 2, Outcome: ReadDone, Took: ms(19)}, nil)
+	a = find(l.Handle(ms(80), &Event{Kind: Ended, RequestID: "q", Server: w.Server, Attempt: 3, Outcome: ConnectionLost, Took: ms(20)}, nil), Send)
+	if a == nil || a.Server == "r1" {
+		t.Fatalf("after a lost connection: %+v, want a writer", a)
+	}
+	l.Handle(ms(90), &Event{Kind: Ended, RequestID: "q", Server: a.Server, Attempt: 4, Outcome: Full, NoState: true, Took: ms(1)}, nil)
+	if l.servers["r1"].fails != 0 {
+		t.Error("the reader counts as failed, though an earlier attempt may have taken the state")
+	}
+}
+
+// Guards: a writer that errs now and then, and never often enough in a row to count as failed, loses what may run
+// once only.
+func TestWritersThatErrAreLeft(t *testing.T) {
+	l := newRouter(t, settings(), entry("r1", "r", 1), entry("w1", "w", 1), entry("w2", "w", 1))
+	at, sent := 0, map[string]int{}
+	for i := range 60 {
+		id := string(rune('A' + i))
+		l.Handle(ms(at), arrival(id, uint64(i), 9), nil)
+		w := find(l.Handle(ms(at+20), &Event{Kind: Ended, RequestID: id, Server: "r1", Outcome: ReadDone, Took: ms(20)}, nil), Send).Server
+		sent[w]++
+		if w == "w1" && sent[w]%3 == 0 {
+			w = find(l.Handle(ms(at+25), &Event{Kind: Ended, RequestID: id, Server: w, Attempt: 1, Outcome: ServerError, Took: ms(5)}, nil), Send).Server
+		}
+		l.Handle(ms(at+45), &Event{Kind: StreamStarted, RequestID: id, Server: w, Took: ms(20)}, nil)
+		l.Handle(ms(at+60), &Event{Kind: Ended, RequestID: id, Server: w, Outcome: Delivered, Over: true}, nil)
+		at += 100
+	}
+	if sent["w1"] > 20 {
+		t.Errorf("%d of 60 went to the writer that errs", sent["w1"])
+	}
+}
+
+// Guards: replicas are replaced by new ones with new ids all day; what was known of the old ones must not pile up.
+func TestGoneServersAreForgotten(t *testing.T) {
+	l := newRouter(t, settings(), entry("r0", "r", 1), entry("w0", "w", 1))
+	var at time.Duration
+	for i := range 400 {
+		at = time.Duration(i) * time.Second
+		r, w := "r"+string(rune(1000+i)), "w"+string(rune(1000+i))
+		list := []ServerEntry{entry(r, "r", 1), entry(w, "w", 1)}
+		for _, s := range l.order {
+			if s.listed {
+				gone := s.ServerEntry
+				gone.Availability = Gone
+				list = append(list, gone)
+			}
+		}
+		l.Handle(at, &Event{Kind: ListChanged, Servers: list}, nil)
+		id := string(rune(1000 + i))
+		l.Handle(at, arrival(id, uint64(i+1), uint64(i+1)), nil)
+		l.Handle(at+ms(20), &Event{Kind: Ended, RequestID: id, Server: r, Outcome: ReadDone, Took: ms(20)}, nil)
+		l.Handle(at+ms(40), &Event{Kind: StreamStarted, RequestID: id, Server: w, Attempt: 1, Took: ms(20)}, nil)
+		l.Handle(at+ms(60), &Event{Kind: Ended, RequestID: id, Server: w, Attempt: 1, Outcome: Delivered, Over: true}, nil)
+		l.Handle(at+ms(80), &Event{Kind: TimerFired, Tag: tagTick}, nil)
+	}
+	known := int(2 * keyLife / time.Second) // two servers a second, with as much again for the sweep
+	if len(l.servers) > 2*known || len(l.order) != len(l.servers) {
+		t.Errorf("%d servers are known, %d in order", len(l.servers), len(l.order))
+	}
+	for name, n := range map[string]int{"table": len(l.table), "popular": len(l.popular), "tries": len(l.tries),
+		"requests": len(l.requests), "bySeq": len(l.bySeq), "open": len(l.open)} {
+		if n > 2*known {
+			t.Errorf("%s: %d entries", name, n)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -73,10 +73,13 @@
 	role      Role
 	memory    float64
 	listed    bool
-	waiting   []*request // attempts out that have not begun to answer
+	offAt     time.Duration // when it was last named as not to be used
+	waiting   []*request    // attempts out that have not begun to answer
 	heard     time.Duration
 	fails     int
 	errors    int
+	tried     decayed       // attempts that ended with an answer or an error
+	erred     decayed       // and those with an error
 	failedAt  time.Duration // when fails began
 	backAt    time.Duration
 	lanes     map[laneKey]lane
