--- a/cmd/standpulley/serve.go
+++ b/cmd/standpulley/serve.go
@@ -23,19 +23,19 @@
 )
 
 const (
-	memoryShare   = 0.7                     // of the limit that Go may use before it collects harder
-	clientShare   = 0.45                    // of the sockets, for clients of all fronts together
-	replicaShare  = 0.4                     // and for replicas; the rest is for discovery, files and the console
-	firstList     = 500 * time.Millisecond  // how long a start waits for discovery, as what is known may be old
-	acceptLonger  = 450 * time.Millisecond  // new connections still come for 0.4 s after SIGTERM
-	acceptedAhead = 50 * time.Millisecond   // and those that the machine has accepted are not lost
-	handOver      = 2 * time.Second         // connections of the configuration before may still be used
-	killedAfter   = 700 * time.Millisecond  // SIGKILL follows SIGTERM no sooner than the longest deadline and this ...
-	killedAtMost  = 3 * time.Second         // ... with a longer deadline counted as this
-	vacatedAhead  = 1200 * time.Millisecond // so much sooner nothing may be left: clients need time to come back elsewhere
-	keepOpen      = 1500 * time.Millisecond // after SIGTERM clients may use the connections that they have
-	releaseAhead  = time.Second             // what is held is let go before the exit, if that takes no longer
-	openPerMB     = 2                       // open requests for each MB, as each has a body of up to 256 KiB
+	memoryShare   = 0.7                    // of the limit that Go may use before it collects harder
+	clientShare   = 0.45                   // of the sockets, for clients of all fronts together
+	replicaShare  = 0.4                    // and for replicas; the rest is for discovery, files and the console
+	firstList     = 500 * time.Millisecond // how long a start waits for discovery, as what is known may be old
+	acceptLonger  = 450 * time.Millisecond // new connections still come for 0.4 s after SIGTERM
+	acceptedAhead = 50 * time.Millisecond  // and those that the machine has accepted are not lost
+	handOver      = 2 * time.Second        // connections of the configuration before may still be used
+	killedAfter   = 700 * time.Millisecond // SIGKILL follows SIGTERM no sooner than the longest deadline and this ...
+	killedAtMost  = 3 * time.Second        // ... with a longer deadline counted as this
+	vacatedAhead  = 400 * time.Millisecond // so much sooner what is still unanswered gets its answer
+	keepOpen      = 600 * time.Millisecond // after SIGTERM clients may use the connections that they have
+	releaseAhead  = time.Second            // what is held is let go before the exit, if that takes no longer
+	bodyShare     = 0.25                   // of the memory, for the bodies of open requests
 )
 
 // stack is all that serves one configuration: a core, its discovery and its fronts.
@@ -57,7 +57,8 @@
 	s := &stack{cfg: cfg, releaser: replica.NewReleaser(pool), fronts: map[string]*fasthttp.Server{}, heard: make(chan struct{}, 1),
 		unwatch: func() {}}
 	var err error
-	s.core, err = dispatch.New(cfg.Settings, cfg.Seed, known, s.releaser, min(openPerMB*limits.MemoryMB, limits.Sockets/2))
+	s.core, err = dispatch.New(cfg.Settings, cfg.Seed, known, s.releaser, dispatch.Bounds{
+		Requests: limits.Sockets / 2, Bytes: int(bodyShare * float64(limits.MemoryMB<<20))})
 	if err != nil {
 		return nil, err
 	}
@@ -145,14 +146,14 @@
 	return s.core.Phases.Enter(dispatch.Stopped)
 }
 
-// vacateBy is how long after SIGTERM requests and streams may go on. SIGKILL would cut what is left, and clients
-// would come back to a dispatcher that is gone.
+// vacateBy is how long after SIGTERM requests may wait for an answer. What is unanswered when SIGKILL comes never
+// gets one.
 func (s *stack) vacateBy() time.Duration {
 	longest := time.Duration(0)
 	for _, c := range s.cfg.Settings.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	return min(longest, killedAtMost) + killedAfter - vacatedAhead
+	return max(min(longest, killedAtMost)+killedAfter-vacatedAhead, 0)
 }
 
 // program is the process: the stack in force and the ports that outlive it.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -139,6 +139,7 @@
 		s.Tenants = append(s.Tenants, logic.Tenant{Name: c.val[p+"name"], QuotaRPS: c.num(p + "quota_rps")})
 	}
 	s.OverShareWorth = c.num("over_share_worth")
+	s.CrossZone = c.num("prices.cross_zone")
 	s.ReadInPlace = c.flag("family_info.read_in_place")
 	s.CanCancel = c.flag("limits.cancel")
 	s.ListOnRequest = c.val["registry_mode"] == "on_request"
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -14,7 +14,7 @@
 	deadline time.Time
 	class    *logic.Class
 	parcel   Parcel
-	resumes  bool
+	size     int
 	ticket   *Ticket
 	answered bool
 	verdict  Verdict
@@ -45,7 +45,7 @@
 		d.answer(r, Answer{Verdict: Failed, Reason: "unknown class"})
 	case d.requests[r.id] != nil:
 		d.answer(r, Answer{Verdict: Failed, Reason: "a request with this id is open"})
-	case len(d.requests) >= d.maxOpen:
+	case len(d.requests) >= d.bounds.Requests || d.size+r.size > d.bounds.Bytes:
 		d.answer(r, Answer{Verdict: Refused, After: fullAfter, Reason: "too many requests are open"})
 	}
 	if r.answered {
@@ -54,6 +54,7 @@
 	}
 	r.out = map[int]*attempt{}
 	d.requests[r.id] = r
+	d.size += r.size
 	r.deadline = r.received.Add(r.ask.Remaining)
 	r.ask.Remaining = max(r.deadline.Sub(d.clock()), 0) // some of it may have gone by on the way here
 	d.after(r.ask.Remaining+backstop, func() { d.overtime(r) })
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -58,6 +58,7 @@
 func (d *Dispatcher) settle(r *request) {
 	if r.answered && len(r.out) == 0 && d.requests[r.id] == r {
 		delete(d.requests, r.id)
+		d.size -= r.size
 		r.parcel = nil // its timers still know the request for a while, and must not keep its body
 		if r.loose && r.verdict != Served {
 			d.release(r.id)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -103,21 +103,28 @@
 	alarms   alarms
 	actions  []logic.Action
 	events   []logic.Event // that answer actions at once
-	maxOpen  int
+	bounds   Bounds
+	size     int // of the open requests
 }
 
-// New makes a Dispatcher that knows the replicas of an initial list. maxOpen bounds its table of requests.
-func New(set logic.Settings, seed uint64, known Update, releaser Releaser, maxOpen int) (*Dispatcher, error) {
+// Bounds are those of the table of open requests.
+type Bounds struct {
+	Requests int
+	Bytes    int // of their parcels together
+}
+
+// New makes a Dispatcher that knows the replicas of an initial list.
+func New(set logic.Settings, seed uint64, known Update, releaser Releaser, bounds Bounds) (*Dispatcher, error) {
 	router, err := logic.New(set, seed)
 	if err != nil {
 		return nil, err
 	}
 	if set.MaxOpen > 0 {
-		maxOpen = min(maxOpen, set.MaxOpen)
+		bounds.Requests = min(bounds.Requests, set.MaxOpen)
 	}
 	d := &Dispatcher{Phases: newPhases(), Counts: &Counts{}, set: set, router: router, releaser: releaser,
 		clock: time.Now, inbox: make(chan message, inboxSize), done: make(chan struct{}),
-		requests: map[string]*request{}, servers: map[string]*Server{}, maxOpen: maxOpen}
+		requests: map[string]*request{}, servers: map[string]*Server{}, bounds: bounds}
 	known.apply(d)
 	return d, nil
 }
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -5,8 +5,8 @@
 // Began is called by the transport when the first event of an answer is there.
 func (at *attempt) Began(s Stream) { at.d.post(beginning{at, s}) }
 
-// Vacate leaves nothing for a SIGKILL to find: what is unanswered is refused, or fails where it may have run, and
-// streams whose clients then ask for the rest elsewhere end here.
+// Vacate answers what is unanswered, as the program is about to be killed: it is refused, or fails where it may have
+// run. Streams go on.
 func (d *Dispatcher) Vacate() { d.post(vacating{}) }
 
 type vacating struct{}
@@ -15,12 +15,6 @@
 	for _, r := range d.requests {
 		if !r.answered {
 			d.giveUp(r, Answer{Verdict: Refused, Reason: "the program ends"})
-			continue
-		}
-		for _, at := range r.out {
-			if r.resumes && at.stream != nil {
-				go at.stream.Close() // it reports, and the core must not wait for itself
-			}
 		}
 	}
 }
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -76,8 +76,11 @@
 	r.ticket.answer <- a // there is room for the one answer
 }
 
-// mayRun tells whether any attempt has run, or may have, or may yet.
+// mayRun tells whether any attempt has run, or may have, or may yet. The rest of a stream is asked for after one ran.
 func (r *request) mayRun() bool {
+	if r.ask.Resumed {
+		return true
+	}
 	for _, at := range r.out {
 		if at.role != logic.Reader {
 			return true
--- a/internal/dispatch/take.go
+++ b/internal/dispatch/take.go
@@ -12,7 +12,7 @@
 	Ask      logic.Request
 	Received time.Time // when its last byte came: its deadline counts from here
 	Parcel   Parcel
-	Resumes  bool // if its stream breaks, the client asks for the rest
+	Size     int // bytes of memory that the parcel holds
 }
 
 // Verdict is the kind of a final answer.
@@ -63,7 +63,7 @@
 // Take hands in a request.
 func (d *Dispatcher) Take(q Request) *Ticket {
 	t := &Ticket{d: d, answer: make(chan Answer, 1), finished: make(chan struct{})}
-	t.r = &request{id: q.ID, ask: q.Ask, received: q.Received, parcel: q.Parcel, resumes: q.Resumes, ticket: t}
+	t.r = &request{id: q.ID, ask: q.Ask, received: q.Received, parcel: q.Parcel, size: q.Size, ticket: t}
 	d.Phases.begin()
 	d.post(arrival{t.r})
 	return t
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -133,7 +133,7 @@
 		}
 		done = func(mayHaveRun bool) { f.ledger.close(key, mayHaveRun) }
 	}
-	t := f.core.Take(dispatch.Request{ID: id, Ask: ask, Received: received, Parcel: &replica.Parcel{
+	t := f.core.Take(dispatch.Request{ID: id, Ask: ask, Received: received, Size: len(text), Parcel: &replica.Parcel{
 		Pool: f.pool, ID: id, Method: fasthttp.MethodPost, URI: path, Host: string(h.Host()), Body: text,
 		Headers: headers(ask)}})
 	a, stop := front.Await(ctx, t)
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -20,7 +20,9 @@
 
 const (
 	refusedMost = 8 // at once; beyond that they are closed without a word
-	refusal     = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.200\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	// Nobody has read what the client asks for. It may be the rest of what has run already, so this is no 503, which
+	// says that trying again is harmless.
+	refusal = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
 // NewGate makes a gate for at most `most` connections.
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -120,7 +120,8 @@
 	if err := props(string(in.Header.Peek("X-Props")), ask); err != nil {
 		return q, fmt.Errorf("X-Props: %w", err)
 	}
-	ask.Again = string(in.Header.Peek("X-Second-Try")) == "1"
+	try := string(in.Header.Peek("X-Second-Try"))
+	ask.Again, ask.Resumed = try == "1", try == "again"
 	parcel := &replica.Parcel{Pool: f.pool, ID: q.ID, Method: string(in.Header.Method()),
 		URI: string(in.RequestURI()), Host: string(in.Header.Host()), Body: body}
 	for _, name := range []string{"Content-Type", "X-Qos", "X-Object", "X-Customer", "X-Props", "X-Second-Try"} {
@@ -128,7 +129,7 @@
 			parcel.Headers = append(parcel.Headers, [2]string{name, string(v)})
 		}
 	}
-	q.Parcel, q.Resumes = parcel, f.core.Settings().Resume
+	q.Parcel, q.Size = parcel, len(body)
 	return q, nil
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -432,7 +432,8 @@
 		case "output_cap":
 			q.MaxOutput = f.int()
 		case "bits":
-			q.Again = f.int()&2 != 0
+			bits := f.int()
+			q.Again, q.Resumed = bits&2 != 0, bits&16 != 0
 		case "size_hint_us":
 			q.OutputHint = f.micros()
 		case "remaining_us":
--- a/logic/api.go
+++ b/logic/api.go
@@ -80,6 +80,7 @@
 	CanCancel      bool          // Cancel is allowed
 	ListOnRequest  bool          // the list of servers comes only after Watch or Fetch
 	MaxAttempts    int           // sends for a request, at most
+	CrossZone      float64       // price of an attempt in another zone, as a share of a request's worth
 	MaxRetryAfter  time.Duration // longest pause a client honours; 0 where none is conveyed
 	ReleaseWithin  time.Duration // a held state is sent on or released within this
 	ColdFrom       float64       // capacity of a just started server, at least
@@ -152,6 +153,7 @@
 	PromptTokens int64
 	MaxOutput    int64
 	Again        bool          // the client says that it tried before
+	Resumed      bool          // its stream broke, and it asks for the rest
 	OutputHint   time.Duration // guess of the answer's length at the token aim; 0 = none
 	Remaining    time.Duration // until the client gives up
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -18,6 +18,8 @@
 	shareDoubt         = 10.0                   // arrivals assumed beside those seen
 	pullMost           = 3.0                    // a reader is a home no more seldom than by this
 	aimShare           = 0.7                    // waiting may use this share of the aim: estimates err
+	zonePrice          = 5.0                    // shares of the aim that a reader elsewhere must be sooner by, for its price
+	zonePull           = 4.0                    // and so much more readily one in the own zone is a home
 	inPlaceLoad        = 0.5                    // a server this full takes no request whole
 	inPlaceSlower      = 2.0                    // and reads at about this multiple of a reader's rate
 	keyLife            = 30 * time.Second       // a table entry unheard of for this long is forgotten
@@ -342,7 +344,11 @@
 	n := min(1+int(homesPerShare*max(share, 0)*float64(len(from))), len(from))
 	all := make([]drawn, 0, len(from))
 	for _, s := range from {
-		all = append(all, drawn{s, s.draw(key)})
+		lot := s.draw(key)
+		if l.set.CrossZone > 0 && s.Zone == l.set.Zone { // where the front keeps a session's clients
+			lot /= zonePull
+		}
+		all = append(all, drawn{s, lot})
 	}
 	slices.SortFunc(all, func(a, b drawn) int { return cmp.Compare(a.lot, b.lot) })
 	all = all[:n]
@@ -415,6 +421,9 @@
 		c.rehome = longest > 0 && float64(longest) >= balancingThreshold*float64(c.match.tokens)
 		c.read = float64(max(r.PromptTokens-c.match.tokens, 1)) * rate
 		charge := c.read
+		if s.Zone != l.set.Zone {
+			charge += l.set.CrossZone * zonePrice * l.overdue / overdueAim
+		}
 		if c.rehome {
 			charge += crowd * homePrice * float64(longest-c.match.tokens) * rate
 		}
@@ -574,8 +583,8 @@
 
 // refuses tells whether waiting, at the reader or at the writers, would push the request past its aim.
 func (l *Router) refuses(r *request, c readChoice, over bool) (time.Duration, bool) {
-	if l.average == 0 || c.at == nil {
-		return 0, false // nothing is refused before a rate is learned
+	if l.average == 0 || c.at == nil || r.Resumed {
+		return 0, false // nothing is refused before a rate is learned, nor the rest of what was served so far
 	}
 	aim := aimShare * l.aimOf(r)
 	wait, least := math.Inf(1), math.Inf(1)
@@ -904,7 +913,7 @@
 	outWriting := r.at != nil && r.phase == writing
 	l.cancel(r)
 	kind := Refuse
-	if r.class.Repeat != Safe && (outWriting || r.ranAt != nil) &&
+	if r.class.Repeat != Safe && (outWriting || r.ranAt != nil || r.Resumed) &&
 		!(r.class.Repeat == Keyed && r.class.Scope == AllServers) {
 		kind = Fail
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -501,3 +501,40 @@
 		}
 	}
 }
+
+// Guards: an attempt in another zone has its price, and most homes of a key are where its clients come in. Elsewhere
+// is chosen when it is sooner by enough.
+func TestReadersOfTheOwnZoneAreHomes(t *testing.T) {
+	far := func(id string) ServerEntry { e := entry(id, "r", 2); e.Zone = "z2"; return e }
+	chosen := func(price float64) (own int) {
+		set := settings()
+		set.CrossZone = price
+		l := newRouter(t, set, entry("r1", "r", 1), far("r2"), entry("w1", "w", 1))
+		l.average, l.extraAt = 50e-6, 0
+		for i := range 200 {
+			r := &request{Request: arrival("q", uint64(i+1), uint64(i+1)).Request}
+			if l.chooseReader(r).at.ID == "r1" {
+				own++
+			}
+		}
+		return own
+	}
+	if free, priced := chosen(0), chosen(0.028); free > 150 || priced < 180 {
+		t.Errorf("%d of 200 in the own zone without a price, %d with it", free, priced)
+	}
+}
+
+// Guards: what was served so far is lost if the rest of it is refused early.
+func TestRestOfAStreamIsNotRefusedEarly(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		l := newRouter(t, settings(), entry("r1", "r", 1), entry("w1", "w", 1))
+		l.average = 1e-3 // seconds a token: a queue of two requests is too long already
+		l.Handle(ms(1), arrival("first", 1, 1), nil)
+		l.Handle(ms(2), arrival("second", 2, 2), nil)
+		ev := arrival("third", 3, 3)
+		ev.Request.Resumed = resumed
+		if refused := find(l.Handle(ms(3), ev, nil), Refuse) != nil; refused == resumed {
+			t.Errorf("resumed %v: refused %v", resumed, refused)
+		}
+	}
+}
