Fail rather than refuse an instruction while a read is out; doubt silent connections

The request for the rest was not the cause, though it may not be refused either. The core and the module answer failed there now (route.go answer, logic.go giveUp). Replicas: a machine that is cut off leaves idle connections open and silent; an instruction written to one is lost. What must not run twice goes out on connections used within 0.5 s or new ones; after 0.3 s of silence the other idle ones are closed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,7 @@
 	Server string
 	Addr   string
 	Until  time.Time
+	Once   bool // it would be lost on a connection whose other side is gone unseen
 }
 
 // Parcel is a request in the form of its wire; only it knows how to travel.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"fmt"
 	"io"
+	"runtime"
 	"testing"
 	"time"
 
@@ -243,6 +245,22 @@
 	}
 }
 
+// Guards: to refuse what must not run twice while an attempt is out breaks the rule on repeats, also while that is at
+// a reader.
+func TestNoRefusalWhileAnAttemptIsOut(t *testing.T) {
+	for class, want := range map[string]Verdict{"safe": Refused, "unsafe": Failed} {
+		d, _ := core(t, 9)
+		k, p := take(d, "a", class)
+		if len(p.sent) != 1 || p.sent[0].to.Server != "r1" {
+			t.Fatalf("%s: sent %+v", class, p.sent)
+		}
+		d.route(logic.Event{Kind: logic.TimerFired, Tag: 3}) // its deadline
+		if a := answerOf(t, k); a.Verdict != want || a.MayRun {
+			t.Errorf("%s: %+v, want %v", class, a, want)
+		}
+	}
+}
+
 // Guards: a replica that was told to drain gets nothing new, whatever the module decides.
 func TestNothingNewToADrainingReplica(t *testing.T) {
 	d, _ := core(t, 9)
@@ -276,7 +294,7 @@
 	s := &closer{}
 	p.sent[1].tell.Began(s)
 	drive(d)
-	waiting, _ := take(d, "waiting", "unsafe")
+	waiting, _ := take(d, "waiting", "safe")
 	running, p := take(d, "running", "unsafe")
 	end(d, p, logic.ReadDone)
 	d.Vacate()
@@ -291,3 +309,47 @@
 		t.Errorf("the stream: %+v, closed %v", a, s.closed)
 	}
 }
+
+// Guards: what a day of requests and replaced replicas leaves behind must not pile up.
+func TestLiveHeapLevelsOff(t *testing.T) {
+	d, _ := core(t, 9)
+	now := time.Now()
+	d.clock = func() time.Time { return now }
+	round := func(n int) uint64 {
+		list := Update{Full: true}
+		for _, s := range [][2]string{{"r", "r"}, {"w", "w"}} {
+			id := fmt.Sprint(s[0], n)
+			list.Servers = append(list.Servers, Server{Addr: id, ServerEntry: logic.ServerEntry{ID: id, Kind: s[1], Weight: 1}})
+		}
+		list.apply(d)
+		for i := range 500 {
+			p := &parcel{}
+			k := d.Take(Request{ID: fmt.Sprint(n, "-", i), Received: now, Parcel: p, Ask: logic.Request{Class: "safe",
+				Remaining: 2 * time.Second, PromptTokens: 10, Session: uint64(n*1000 + i + 1), Prefix: uint64(n*1000 + i + 1), PrefixTokens: 5}})
+			drive(d)
+			end(d, p, logic.ReadDone)
+			p.sent[1].tell.Began(&closer{})
+			drive(d)
+			end(d, p, logic.Delivered)
+			if a := answerOf(t, k); a.Verdict != Served {
+				t.Fatalf("round %d, request %d: %+v", n, i, a)
+			}
+			now = now.Add(100 * time.Millisecond)
+			d.ring()
+		}
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	var heap []uint64
+	for n := range 8 {
+		heap = append(heap, round(n))
+	}
+	if grown := int64(heap[7]) - int64(heap[3]); grown > 100<<10 {
+		t.Errorf("%d bytes more after four further rounds: %v", grown, heap)
+	}
+	if len(d.requests) != 0 || d.size != 0 || len(d.alarms) > 100 {
+		t.Errorf("%d requests of %d bytes, %d alarms are kept", len(d.requests), d.size, len(d.alarms))
+	}
+}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -59,13 +59,14 @@
 }
 
 // answer gives the one final answer; a second one is dropped. A refusal says that trying again is harmless, so
-// where that is not proven the answer is a failure, whatever the module decided.
+// where that is not proven the answer is a failure, whatever the module decided. What is out proves nothing yet, not
+// even at a reader.
 func (d *Dispatcher) answer(r *request, a Answer) {
 	if r.answered {
 		return
 	}
 	a.MayRun = r.mayRun()
-	if a.Verdict == Refused && r.class != nil && r.class.Repeat == logic.Unsafe && a.MayRun {
+	if a.Verdict == Refused && r.class != nil && r.class.Repeat == logic.Unsafe && (a.MayRun || len(r.out) > 0) {
 		a.Verdict = Failed
 	}
 	if a.Verdict == Refused { // a refusal always says when to come back
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -41,7 +41,8 @@
 	}
 	r.out[at.n] = at
 	d.Counts.sent()
-	at.out = r.parcel.Send(Target{Server: s.ID, Addr: s.Addr, Until: until}, at)
+	at.out = r.parcel.Send(Target{Server: s.ID, Addr: s.Addr, Until: until,
+		Once: at.role != logic.Reader && r.class.Repeat != logic.Safe}, at)
 }
 
 // mayRepeat holds the rule on repeats: a request that must not run twice goes out again only when every earlier
--- a/internal/front/platform/bad_test.go
+++ b/internal/front/platform/bad_test.go
@@ -1,12 +1,15 @@
 package platform
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"standpulley/internal/fronttest"
 	"standpulley/internal/standin"
 )
@@ -124,3 +127,19 @@
 		t.Errorf("chunks as they should be: %d", resp.StatusCode)
 	}
 }
+
+// Guards: timers hold a request until the time its client says it waits, which could be for ever.
+func TestNobodyWaitsForEver(t *testing.T) {
+	rig := fronttest.Start(t, fronttest.Read, serve)
+	f := New(rig.Core, rig.Pool)
+	for _, expires := range []string{"99999999999m", "1e300u"} {
+		var in fasthttp.Request
+		if err := in.Read(bufio.NewReader(strings.NewReader(raw("enquiry", expires)))); err != nil {
+			t.Fatal(err)
+		}
+		q, err := f.request(&in)
+		if most := 2 * fronttest.Settings().Classes[0].Deadline; err != nil || q.Ask.Remaining <= 0 || q.Ask.Remaining > most {
+			t.Errorf("%s: %v, %v", expires, q.Ask.Remaining, err)
+		}
+	}
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -24,6 +24,8 @@
 	maxTokens = 1 << 40
 	tokenSize = 4 // characters
 	maxWait   = time.Hour
+
+	longPrompt = 1 << 20 // tokens
 )
 
 // Front serves the platform's clients.
@@ -120,6 +122,7 @@
 	if err := props(string(in.Header.Peek("X-Props")), ask); err != nil {
 		return q, fmt.Errorf("X-Props: %w", err)
 	}
+	ask.Remaining = min(ask.Remaining, longest(class, ask.PromptTokens))
 	try := string(in.Header.Peek("X-Second-Try"))
 	ask.Again, ask.Resumed = try == "1", try == "again"
 	parcel := &replica.Parcel{Pool: f.pool, ID: q.ID, Method: string(in.Header.Method()),
@@ -146,6 +149,12 @@
 	return time.Duration(min(v*float64(unit), float64(maxWait))), nil
 }
 
+// longest bounds how long a request is kept, whatever its client says: its timers hold it for that time. Clients wait
+// no longer than their class's deadline, which grows with the prompt.
+func longest(class logic.Class, tokens int64) time.Duration {
+	return 2 * (class.Deadline + 2*time.Duration(min(tokens, longPrompt))*class.AimPer1K/1000)
+}
+
 func key(text string) (uint64, error) {
 	if text == "" {
 		return 0, nil
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -23,6 +23,11 @@
 	headerExpires  = "X-Expires-In"
 	headerNeverRan = "X-Never-Ran"
 
+	// A machine that is cut off leaves its connections open and silent, and what is written to one may have run. A new
+	// connection to it never comes up, which proves that nothing ran.
+	onceProof = 500 * time.Millisecond // what must not run twice goes out only on connections that were used so lately
+	silence   = 300 * time.Millisecond // after so long without a word the other idle connections are doubtful too
+
 	smallAnswer = 64 << 10 // bodies other than streams
 	piece       = 16 << 10 // of a stream, at most so much at once
 )
@@ -41,7 +46,7 @@
 // Send starts an attempt.
 func (p *Parcel) Send(to dispatch.Target, tell dispatch.Report) dispatch.Attempt {
 	ctx, cancel := context.WithDeadline(context.Background(), to.Until)
-	a := &attempt{p: p, to: to, tell: tell, ctx: ctx, cancel: cancel}
+	a := &attempt{p: p, to: to, tell: tell, ctx: ctx, cancel: cancel, began: time.Now()}
 	go a.run()
 	return a
 }
@@ -56,6 +61,7 @@
 	c      *conn
 	resp   fasthttp.Response
 	unhook func() bool
+	began  time.Time
 
 	mu     sync.Mutex
 	lifted bool // the attempt is the client's: its time no longer runs
@@ -93,7 +99,11 @@
 
 // exchange takes the attempt to its outcome, or to the first event of its answer.
 func (a *attempt) exchange() (dispatch.Result, *stream) {
-	c, err := a.p.Pool.get(a.ctx, a.to.Addr)
+	proof := time.Duration(0)
+	if a.to.Once {
+		proof = onceProof
+	}
+	c, err := a.p.Pool.get(a.ctx, a.to.Addr, proof)
 	if err != nil {
 		return a.failed(logic.ConnectFailed, err), nil
 	}
@@ -127,6 +137,9 @@
 // replica has run it: it has taken the state, and what it said is no silence.
 func (a *attempt) broken(came bool, err error) dispatch.Result {
 	a.hangUp()
+	if !came && time.Since(a.began) > silence {
+		a.p.Pool.doubt(a.to.Addr, a.began)
+	}
 	res := a.failed(logic.ConnectionLost, err)
 	if came && res.Outcome != logic.Cancelled {
 		res.Outcome, res.NoState = logic.ConnectionLost, true
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -62,10 +63,11 @@
 	p.most, p.idleMost, p.dialTimeout = most, time.Duration(retireAt*float64(idle)), dialTimeout
 }
 
-// get gives an idle connection that the replica has not closed, or a new one.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+// get gives an idle connection that the replica has not closed, or a new one. With a proof, the idle one was used no
+// longer ago than that.
+func (p *Pool) get(ctx context.Context, addr string, proof time.Duration) (*conn, error) {
 	for {
-		c, fresh := p.takeIdle(addr)
+		c, fresh := p.takeIdle(addr, proof)
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
@@ -77,11 +79,11 @@
 }
 
 // takeIdle gives the idle connection that was used last, if there is one, and tells whether the replica keeps it.
-func (p *Pool) takeIdle(addr string) (c *conn, fresh bool) {
+func (p *Pool) takeIdle(addr string, proof time.Duration) (c *conn, fresh bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := p.idle[addr]
-	if len(all) == 0 {
+	if len(all) == 0 || proof > 0 && time.Since(all[len(all)-1].idledAt) > proof {
 		return nil, false
 	}
 	c = all[len(all)-1]
@@ -150,6 +152,20 @@
 	p.free()
 }
 
+// doubt closes the idle connections to a replica that has been silent since a time, but for those used after it.
+func (p *Pool) doubt(addr string, since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[addr] = slices.DeleteFunc(p.idle[addr], func(c *conn) bool {
+		old := c.idledAt.Before(since)
+		if old {
+			_ = c.Close() // nothing more is wanted of it
+			p.open--
+		}
+		return old
+	})
+}
+
 const sweepEvery = time.Second
 
 // Sweep closes connections that have stood idle for long, until ctx ends.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -301,7 +301,7 @@
 	}
 	old := pool.idle[r.Addr][0]
 	old.idledAt = time.Now().Add(-81 * time.Second)
-	c, err := pool.get(context.Background(), r.Addr)
+	c, err := pool.get(context.Background(), r.Addr, 0)
 	if err != nil || c == old || pool.open != 1 {
 		t.Errorf("%v, the old one %v, %d open", err, c == old, pool.open)
 	}
@@ -323,6 +323,45 @@
 	}
 }
 
+// Guards: a machine that is cut off leaves its connections open and silent. What must not run twice is not lost on
+// one of them, and after one silence the others are not used.
+func TestSilentConnectionsAreDoubted(t *testing.T) {
+	r := replicaOf(t, func(x *standin.Exchange) { x.Read(0) })
+	pool := NewPool(8, 0, 0)
+	once := func(old time.Duration) *conn {
+		rep, _ := send(pool, r.Addr, time.Second, "b")
+		rep.result(t)
+		c := pool.idle[r.Addr][0]
+		c.idledAt = c.idledAt.Add(-old)
+		rep = newReport()
+		p := &Parcel{Pool: pool, ID: "id2", Method: "POST", URI: "/"}
+		p.Send(dispatch.Target{Addr: r.Addr, Until: time.Now().Add(time.Second), Once: true}, rep)
+		rep.result(t)
+		return c
+	}
+	if once(0); pool.open != 1 {
+		t.Errorf("%d connections where one was just used", pool.open)
+	}
+	if once(time.Second); pool.open != 2 {
+		t.Errorf("%d connections where the one was idle for long", pool.open)
+	}
+	quiet := replicaOf(t, func(x *standin.Exchange) { x.Gone() })
+	for range 2 { // two that idle, and one that falls silent
+		c, err := pool.dial(context.Background(), quiet.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		pool.put(c)
+	}
+	if n := len(pool.idle[quiet.Addr]); n != 2 {
+		t.Fatalf("%d idle", n)
+	}
+	rep, _ := send(pool, quiet.Addr, silence+200*time.Millisecond, "b")
+	if got := rep.result(t); got.Outcome != logic.TimedOut || len(pool.idle[quiet.Addr]) != 0 || pool.open != 2 {
+		t.Errorf("%+v, %d idle, %d open", got, len(pool.idle[quiet.Addr]), pool.open)
+	}
+}
+
 // Guards: a release that one replica can't take goes to another.
 func TestReleaseTriesAnother(t *testing.T) {
 	dead := replicaOf(t, func(*standin.Exchange) {})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -910,10 +910,10 @@
 
 // giveUp ends a request unserved: refused where that is no lie, else failed.
 func (l *Router) giveUp(r *request, pause time.Duration) {
-	outWriting := r.at != nil && r.phase == writing
+	out := r.at != nil // and proves nothing yet, not even at a reader
 	l.cancel(r)
 	kind := Refuse
-	if r.class.Repeat != Safe && (outWriting || r.ranAt != nil || r.Resumed) &&
+	if r.class.Repeat != Safe && (out || r.ranAt != nil || r.Resumed) &&
 		!(r.class.Repeat == Keyed && r.class.Scope == AllServers) {
 		kind = Fail
 	}
