--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -23,10 +23,7 @@
 	headerExpires  = "X-Expires-In"
 	headerNeverRan = "X-Never-Ran"
 
-	// A machine that is cut off leaves its connections open and silent, and what is written to one may have run. A new
-	// connection to it never comes up, which proves that nothing ran.
-	onceProof = 500 * time.Millisecond // what must not run twice goes out only on connections that were used so lately
-	silence   = 300 * time.Millisecond // after so long without a word the other idle connections are doubtful too
+	silence = 300 * time.Millisecond // after so long without a word the other idle connections are doubtful too
 
 	smallAnswer = 64 << 10 // bodies other than streams
 	piece       = 16 << 10 // of a stream, at most so much at once
@@ -99,11 +96,7 @@
 
 // exchange takes the attempt to its outcome, or to the first event of its answer.
 func (a *attempt) exchange() (dispatch.Result, *stream) {
-	proof := time.Duration(0)
-	if a.to.Once {
-		proof = onceProof
-	}
-	c, err := a.p.Pool.get(a.ctx, a.to.Addr, proof)
+	c, err := a.p.Pool.get(a.ctx, a.to.Addr, a.to.Once)
 	if err != nil {
 		return a.failed(logic.ConnectFailed, err), nil
 	}
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -37,6 +37,7 @@
 
 const (
 	retireAt    = 0.8 // part of the replica's idle time after which we close first
+	idleAtMost  = 8   // connections to a replica that idle at once: each takes a place there too
 	readBuffer  = 8 << 10
 	writeBuffer = 16 << 10
 )
@@ -63,11 +64,15 @@
 	p.most, p.idleMost, p.dialTimeout = most, time.Duration(retireAt*float64(idle)), dialTimeout
 }
 
-// get gives an idle connection that the replica has not closed, or a new one. With a proof, the idle one was used no
-// longer ago than that.
-func (p *Pool) get(ctx context.Context, addr string, proof time.Duration) (*conn, error) {
+// get gives an idle connection that the replica has not closed, or a new one. An idle one may be reset by the next
+// request, or be silent as its machine is cut off, and what is written to it may have run: what must not run twice goes
+// out on a new one, which fails before that.
+func (p *Pool) get(ctx context.Context, addr string, once bool) (*conn, error) {
+	if once {
+		return p.dial(ctx, addr)
+	}
 	for {
-		c, fresh := p.takeIdle(addr, proof)
+		c, fresh := p.takeIdle(addr)
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
@@ -79,11 +84,11 @@
 }
 
 // takeIdle gives the idle connection that was used last, if there is one, and tells whether the replica keeps it.
-func (p *Pool) takeIdle(addr string, proof time.Duration) (c *conn, fresh bool) {
+func (p *Pool) takeIdle(addr string) (c *conn, fresh bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := p.idle[addr]
-	if len(all) == 0 || proof > 0 && time.Since(all[len(all)-1].idledAt) > proof {
+	if len(all) == 0 {
 		return nil, false
 	}
 	c = all[len(all)-1]
@@ -142,8 +147,14 @@
 	}
 	c.idledAt = time.Now()
 	p.mu.Lock()
-	p.idle[c.addr] = append(p.idle[c.addr], c)
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	all := append(p.idle[c.addr], c)
+	if len(all) > idleAtMost {
+		_ = all[0].Close() // nothing more is wanted of it
+		all = slices.Delete(all, 0, 1)
+		p.open--
+	}
+	p.idle[c.addr] = all
 }
 
 // drop closes a connection for good.
--- a/internal/replica/release.go
+++ b/internal/replica/release.go
@@ -60,7 +60,7 @@
 	until := time.Now().Add(releaseTry)
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
-	c, err := l.pool.get(ctx, addr, 0)
+	c, err := l.pool.get(ctx, addr, false)
 	if err != nil {
 		return err
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -301,7 +302,7 @@
 	}
 	old := pool.idle[r.Addr][0]
 	old.idledAt = time.Now().Add(-81 * time.Second)
-	c, err := pool.get(context.Background(), r.Addr, 0)
+	c, err := pool.get(context.Background(), r.Addr, false)
 	if err != nil || c == old || pool.open != 1 {
 		t.Errorf("%v, the old one %v, %d open", err, c == old, pool.open)
 	}
@@ -323,28 +324,39 @@
 	}
 }
 
-// Guards: a machine that is cut off leaves its connections open and silent. What must not run twice is not lost on
-// one of them, and after one silence the others are not used.
-func TestSilentConnectionsAreDoubted(t *testing.T) {
-	r := replicaOf(t, func(x *standin.Exchange) { x.Read(0) })
-	pool := NewPool(8, 0, 0)
-	once := func(old time.Duration) *conn {
-		rep, _ := send(pool, r.Addr, time.Second, "b")
-		rep.result(t)
-		c := pool.idle[r.Addr][0]
-		c.idledAt = c.idledAt.Add(-old)
-		rep = newReport()
-		p := &Parcel{Pool: pool, ID: "id2", Method: "POST", URI: "/"}
+// Guards: a kept connection may be reset by the next request. What must not run twice is lost on one that was.
+func TestOnceGoesOutOnNewConnections(t *testing.T) {
+	var conns sync.Map
+	r := replicaOf(t, func(x *standin.Exchange) {
+		if _, kept := conns.LoadOrStore(x.Conn, true); kept {
+			x.Break()
+			return
+		}
+		x.Answer("a")
+	})
+	pool := NewPool(32, 0, 0)
+	for i := range 20 {
+		rep := newReport()
+		p := &Parcel{Pool: pool, ID: "id", Method: "POST", URI: "/"}
 		p.Send(dispatch.Target{Addr: r.Addr, Until: time.Now().Add(time.Second), Once: true}, rep)
-		rep.result(t)
-		return c
-	}
-	if once(0); pool.open != 1 {
-		t.Errorf("%d connections where one was just used", pool.open)
+		select {
+		case s := <-rep.began:
+			for _, err := s.Next(); err == nil; _, err = s.Next() {
+			}
+		case <-time.After(2 * time.Second):
+		}
+		if got := rep.result(t); got.Outcome != logic.Delivered {
+			t.Fatalf("%d: %+v", i, got)
+		}
 	}
-	if once(time.Second); pool.open != 2 {
-		t.Errorf("%d connections where the one was idle for long", pool.open)
+	if n := len(pool.idle[r.Addr]); n != idleAtMost || pool.open != n {
+		t.Errorf("%d idle of %d open", n, pool.open)
 	}
+}
+
+// Guards: a machine that is cut off leaves its connections open and silent: after one silence the others are not used.
+func TestSilentConnectionsAreDoubted(t *testing.T) {
+	pool := NewPool(8, 0, 0)
 	quiet := replicaOf(t, func(x *standin.Exchange) { x.Gone() })
 	for range 2 { // two that idle, and one that falls silent
 		c, err := pool.dial(context.Background(), quiet.Addr)
@@ -357,7 +369,7 @@
 		t.Fatalf("%d idle", n)
 	}
 	rep, _ := send(pool, quiet.Addr, silence+200*time.Millisecond, "b")
-	if got := rep.result(t); got.Outcome != logic.TimedOut || len(pool.idle[quiet.Addr]) != 0 || pool.open != 2 {
+	if got := rep.result(t); got.Outcome != logic.TimedOut || len(pool.idle[quiet.Addr]) != 0 || pool.open != 0 {
 		t.Errorf("%+v, %d idle, %d open", got, len(pool.idle[quiet.Addr]), pool.open)
 	}
 }
