--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -36,13 +36,17 @@
 }
 
 const (
-	retireAt    = 0.8 // part of the replica's idle time after which we close first
-	idleAtMost  = 8   // connections to a replica that idle at once: each takes a place there too
+	retireAt    = 0.8                  // part of the replica's idle time after which we close first
+	idleAtMost  = 8                    // connections to a replica that idle at once: each takes a place there too
+	settle      = 2 * time.Millisecond // some round trips
 	readBuffer  = 8 << 10
 	writeBuffer = 16 << 10
 )
 
-var errNoRoom = errors.New("every connection is in use")
+var (
+	errNoRoom   = errors.New("every connection is in use")
+	errNotTaken = errors.New("the new connection was closed at once")
+)
 
 // NewPool makes a pool of at most `most` open connections. Replicas close what has stood idle for idle.
 func NewPool(most int, idle, dialTimeout time.Duration) *Pool {
@@ -66,10 +70,19 @@
 
 // get gives an idle connection that the replica has not closed, or a new one. An idle one may be reset by the next
 // request, or be silent as its machine is cut off, and what is written to it may have run: what must not run twice goes
-// out on a new one, which fails before that.
+// out on a new one, which fails before that. As a replica may reset one that its machine has accepted, a moment is
+// waited for that.
 func (p *Pool) get(ctx context.Context, addr string, once bool) (*conn, error) {
 	if once {
-		return p.dial(ctx, addr)
+		c, err := p.dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		if time.Sleep(settle); !quiet(c.Conn) {
+			p.drop(c)
+			return nil, errNotTaken
+		}
+		return c, nil
 	}
 	for {
 		c, fresh := p.takeIdle(addr)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -354,6 +354,33 @@
 	}
 }
 
+// Guards: a replica may reset a connection that its machine has accepted. What must not run twice is not written to
+// it, so it never ran.
+func TestNewConnectionThatIsReset(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	pool := NewPool(4, 0, 0)
+	for range 20 {
+		rep := newReport()
+		p := &Parcel{Pool: pool, ID: "id", Method: "POST", URI: "/"}
+		p.Send(dispatch.Target{Addr: ln.Addr().String(), Until: time.Now().Add(time.Second), Once: true}, rep)
+		// On a machine that is busy the reset may come later than that moment: then it may have run.
+		if got := rep.result(t); got.Outcome == logic.ConnectFailed {
+			return
+		}
+	}
+	t.Error("each of 20 was written to a connection that was reset")
+}
+
 // Guards: a machine that is cut off leaves its connections open and silent: after one silence the others are not used.
 func TestSilentConnectionsAreDoubted(t *testing.T) {
 	pool := NewPool(8, 0, 0)
