--- a/cmd/standpulley/main_test.go
+++ b/cmd/standpulley/main_test.go
@@ -193,6 +193,48 @@
 	}
 }
 
+// Guards: SIGKILL cut streams whose clients then found every dispatcher restarting. Where clients ask another one for
+// the rest, streams are moved before it, and the program ends by itself; where they don't, none is cut.
+func TestStreamsAreMovedBeforeSIGKILL(t *testing.T) {
+	for siblings, moved := range map[int]bool{2: true, 1: false} {
+		act, open, goOn := held()
+		agent, err := standin.StartAgent("127.0.0.1:0", fleet(t, act)...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(agent.Close)
+		addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+		set := strings.NewReplacer(`"siblings":1`, fmt.Sprintf(`"siblings":%d`, siblings), `"let_go_by_us"`, `"resume":true,"let_go_by_us"`,
+			`"deadline_us":6000000`, `"deadline_us":1000000`, `"goal_time_us":1500000`, `"goal_time_us":500000`).Replace(settings)
+		config := fmt.Sprintf(`{"name":"n0","seed":"1","listen":%q,"discovery":%q,"settings":%s}`, addr, agent.Addr, set)
+		if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd, out := start(t, []string{"EDGE_CONFIG=" + path})
+		wait(t, "a ready program", func() bool { return strings.Contains(out.String(), "n0: ready") })
+		c := ask(t, addr, 1)
+		<-open
+		if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		told := time.Now()
+		if !moved {
+			time.AfterFunc(2*time.Second, func() { close(goOn) })
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(resp.Body)
+		if moved != (err != nil) || moved && time.Since(told) > 1700*time.Millisecond {
+			t.Errorf("%d siblings: after %v the stream ends with %v: %q", siblings, time.Since(told), err, text)
+		}
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("%d siblings: exit: %v\n%s", siblings, err, out)
+		}
+	}
+}
+
 func TestFaultyConfigurationNamesTheKey(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(`{"listen":"here"}`), 0o600); err != nil {
--- a/cmd/standpulley/serve.go
+++ b/cmd/standpulley/serve.go
@@ -34,6 +34,8 @@
 	killedAtMost  = 3 * time.Second        // ... with a longer deadline counted as this
 	vacatedAhead  = 400 * time.Millisecond // so much sooner what is still unanswered gets its answer
 	keepOpen      = 600 * time.Millisecond // after SIGTERM clients may use the connections that they have
+	moveFrom      = 0.7                    // part of the time until vacatedAhead after which streams are moved ...
+	moveOver      = 0.2                    // ... one by one, over this part of it
 	releaseAhead  = time.Second            // what is held is let go before the exit, if that takes no longer
 	bodyShare     = 0.25                   // of the memory, for the bodies of open requests
 )
@@ -156,6 +158,17 @@
 	return max(min(longest, killedAtMost)+killedAfter-vacatedAhead, 0)
 }
 
+// vacate sees to it that SIGKILL, which may follow a SIGTERM that comes now, finds nothing. What is unanswered shortly
+// before it gets its answer. Streams that it would cut are moved, where that can be done, sooner: the clients that come
+// back then find another dispatcher rather than one that is being restarted next.
+func (s *stack) vacate() {
+	by := s.vacateBy()
+	time.AfterFunc(part(by, moveFrom), func() { s.core.Move(part(by, moveOver)) })
+	time.AfterFunc(by, func() { s.core.Vacate(); s.core.Move(0) })
+}
+
+func part(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
+
 // program is the process: the stack in force and the ports that outlive it.
 type program struct {
 	ports    map[string]*front.Port
@@ -230,7 +243,7 @@
 		select {
 		case <-time.After(handOver):
 		case <-p.draining:
-			time.AfterFunc(before.vacateBy(), before.core.Vacate)
+			before.vacate()
 			time.Sleep(acceptLonger)
 		}
 		if err := before.finish(); err != nil {
@@ -247,7 +260,7 @@
 	}
 	close(p.draining)
 	told := time.Now()
-	time.AfterFunc(p.now.vacateBy(), p.now.core.Vacate)
+	p.now.vacate()
 	log.Print("draining")
 	time.Sleep(acceptLonger)
 	done := make(chan struct{})
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -15,6 +15,7 @@
 	class    *logic.Class
 	parcel   Parcel
 	size     int
+	movable  bool
 	ticket   *Ticket
 	answered bool
 	verdict  Verdict
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,10 +31,18 @@
 
 func (f *fake) Cancel() { f.p.cancelled++ }
 
-type closer struct{ closed bool }
+type closer struct{ ended atomic.Bool }
 
 func (c *closer) Next() ([]byte, error) { return nil, io.EOF }
-func (c *closer) Close()                { c.closed = true }
+func (c *closer) Close()                { c.ended.Store(true) }
+
+// closed waits a moment for the end, which comes from a goroutine of its own.
+func (c *closer) closed() bool {
+	for i := 0; i < 1000 && !c.ended.Load(); i++ {
+		time.Sleep(time.Millisecond)
+	}
+	return c.ended.Load()
+}
 
 type released []string
 
@@ -120,8 +129,8 @@
 	}
 	d.overtime(k.r) // its deadline runs no longer
 	end(d, p, logic.ConnectionLost)
-	if none(t, k); len(p.sent) != 2 || s.closed || len(d.requests) != 0 {
-		t.Errorf("%d sends, closed %v, %d kept", len(p.sent), s.closed, len(d.requests))
+	if none(t, k); len(p.sent) != 2 || s.ended.Load() || len(d.requests) != 0 {
+		t.Errorf("%d sends, closed %v, %d kept", len(p.sent), s.ended.Load(), len(d.requests))
 	}
 	if k.r.parcel != nil { // timers know a request until its deadline: a flood of bodies would fill the memory
 		t.Error("the body is kept after the end")
@@ -140,8 +149,8 @@
 	s := &closer{}
 	p.sent[1].tell.Began(s)
 	end(d, p, logic.Cancelled)
-	if none(t, k); !s.closed || len(d.requests) != 0 {
-		t.Errorf("closed %v, %d kept", s.closed, len(d.requests))
+	if none(t, k); !s.closed() || len(d.requests) != 0 {
+		t.Errorf("closed %v, %d kept", s.closed(), len(d.requests))
 	}
 }
 
@@ -305,8 +314,41 @@
 	if a := answerOf(t, running); a.Verdict != Failed {
 		t.Errorf("what may run: %+v", a)
 	}
-	if a := answerOf(t, k); a.Verdict != Served || s.closed {
-		t.Errorf("the stream: %+v, closed %v", a, s.closed)
+	if a := answerOf(t, k); a.Verdict != Served || s.ended.Load() {
+		t.Errorf("the stream: %+v, closed %v", a, s.ended.Load())
+	}
+}
+
+// Guards: SIGKILL would cut streams when nobody is left for their clients to come to. Those whose clients ask for the
+// rest are moved before, one by one, the youngest first; the others go on.
+func TestMove(t *testing.T) {
+	d, _ := core(t, 9)
+	now := time.Now()
+	d.clock = func() time.Time { return now }
+	var streams []*closer
+	for i, movable := range []bool{true, true, false, true} {
+		p, s := &parcel{}, &closer{}
+		d.Take(Request{ID: fmt.Sprint(i), Received: now, Parcel: p, Movable: movable,
+			Ask: logic.Request{Class: "unsafe", Remaining: 2 * time.Second, PromptTokens: 10}})
+		drive(d)
+		end(d, p, logic.ReadDone)
+		if i < 3 { // the last one has not begun
+			p.sent[1].tell.Began(s)
+			drive(d)
+		}
+		streams = append(streams, s)
+		now = now.Add(100 * time.Millisecond)
+	}
+	d.Move(time.Second)
+	drive(d)
+	d.ring()
+	if !streams[1].closed() || streams[0].ended.Load() {
+		t.Error("the younger one is not moved first")
+	}
+	now = now.Add(600 * time.Millisecond)
+	d.ring()
+	if !streams[0].closed() || streams[2].ended.Load() || streams[3].ended.Load() {
+		t.Errorf("closed: %v %v %v", streams[0].closed(), streams[2].ended.Load(), streams[3].ended.Load())
 	}
 }
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "standpulley/logic"
+import (
+	"slices"
+	"time"
+
+	"standpulley/logic"
+)
 
 // Began is called by the transport when the first event of an answer is there.
 func (at *attempt) Began(s Stream) { at.d.post(beginning{at, s}) }
@@ -19,6 +24,27 @@
 	}
 }
 
+// Move ends the streams whose clients ask another dispatcher for the rest, as the program is about to be killed. They
+// are spread over a time, as all of their prompts are read anew. The youngest go first: the others may yet end.
+func (d *Dispatcher) Move(over time.Duration) { d.post(moving(over)) }
+
+type moving time.Duration
+
+func (m moving) apply(d *Dispatcher) {
+	var run []*attempt
+	for _, r := range d.requests {
+		for _, at := range r.out {
+			if r.movable && at.stream != nil {
+				run = append(run, at)
+			}
+		}
+	}
+	slices.SortFunc(run, func(a, b *attempt) int { return b.beganAt.Compare(a.beganAt) })
+	for i, at := range run {
+		d.after(time.Duration(m)*time.Duration(i)/time.Duration(len(run)), func() { go at.stream.Close() })
+	}
+}
+
 type beginning struct {
 	at     *attempt
 	stream Stream
@@ -30,10 +56,10 @@
 	at, r := b.at, b.at.r
 	if r.answered || at.dropped {
 		at.dropped = true
-		b.stream.Close()
+		go b.stream.Close() // it posts its end, and nobody takes it while we wait
 		return
 	}
-	at.stream = b.stream
+	at.stream, at.beganAt = b.stream, d.clock()
 	d.route(logic.Event{Kind: logic.StreamStarted, RequestID: r.id, Server: at.server, Attempt: at.n,
 		Took: d.clock().Sub(at.sentAt)})
 	d.answer(r, Answer{Verdict: Served, Stream: b.stream})
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -16,7 +16,8 @@
 	sentAt  time.Time
 	out     Attempt
 	stream  Stream // the client's, once it was handed over
-	dropped bool   // given up: its stream is no longer wanted
+	beganAt time.Time
+	dropped bool // given up: its stream is no longer wanted
 }
 
 // send makes an attempt, unless a rule forbids it: then it ends at once as not sent.
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -33,11 +33,12 @@
 	core    *dispatch.Dispatcher
 	pool    *replica.Pool
 	classes map[string]logic.Class
+	movable bool
 }
 
 // New makes the front of a core; its requests travel by the pool.
 func New(core *dispatch.Dispatcher, pool *replica.Pool) *Front {
-	f := &Front{core: core, pool: pool, classes: map[string]logic.Class{}}
+	f := &Front{core: core, pool: pool, classes: map[string]logic.Class{}, movable: core.Settings().Movable()}
 	for _, c := range core.Settings().Classes {
 		f.classes[c.Name] = c
 	}
@@ -132,7 +133,7 @@
 			parcel.Headers = append(parcel.Headers, [2]string{name, string(v)})
 		}
 	}
-	q.Parcel, q.Size = parcel, len(body)
+	q.Parcel, q.Size, q.Movable = parcel, len(body), f.movable
 	return q, nil
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -210,6 +210,9 @@
 	}
 }
 
+// Movable tells whether a client whose stream ends early finds the rest of it at another router.
+func (s Settings) Movable() bool { return s.Resume && s.Siblings > 1 }
+
 // check names the first setting that no Router can work with.
 func (s Settings) check() error {
 	bad := func(name string, v any) error { return fmt.Errorf("logic: setting %s: %v is not allowed", name, v) }
