Bound the bodies that are being read: half-sent ones held 256 KiB each on every connection

Confirmed in fasthttp (appendBodyFixedSize): it makes room for the whole length that a head says, so 345 connections with half a body hold 88 MB of 96 MB before the core's bound on bytes sees any of them. Bodies are read by front.Conn within a bound of 10% of the memory now, and framing is checked before a byte of the body is read.

--- a/cmd/standpulley/serve.go
+++ b/cmd/standpulley/serve.go
@@ -38,6 +38,7 @@
 	moveOver      = 0.2                    // ... one by one, over this part of it
 	releaseAhead  = time.Second            // what is held is let go before the exit, if that takes no longer
 	bodyShare     = 0.25                   // of the memory, for the bodies of open requests
+	comingShare   = 0.1                    // and for those that are being read
 )
 
 // stack is all that serves one configuration: a core, its discovery and its fronts.
@@ -215,7 +216,7 @@
 	for addr, port := range opened {
 		p.ports[addr] = port
 	}
-	p.gate.Limit(int(clientShare * float64(cfg.Limits.Sockets)))
+	p.gate.Limit(int(clientShare*float64(cfg.Limits.Sockets)), int(comingShare*float64(cfg.Limits.MemoryMB<<20)))
 	p.pool.Limit(int(replicaShare*float64(cfg.Limits.Sockets)), cfg.Settings.ConnIdle, cfg.Settings.ConnectTimeout)
 	runtime.GOMAXPROCS(max(int(cfg.Limits.Cores+0.5), 1))
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
@@ -300,7 +301,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	p := &program{ports: map[string]*front.Port{}, pool: replica.NewPool(0, 0, 0), gate: front.NewGate(0),
+	p := &program{ports: map[string]*front.Port{}, pool: replica.NewPool(0, 0, 0), gate: front.NewGate(0, 0),
 		draining: make(chan struct{})}
 	go p.pool.Sweep(ctx)
 	if err := p.force(cfg); err != nil {
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -75,11 +75,11 @@
 	}, maxBody)
 }
 
-func (f *Front) serve(ctx *fasthttp.RequestCtx) {
+func (f *Front) serve(ctx *fasthttp.RequestCtx, body []byte) {
 	received := time.Now()
 	switch p := string(ctx.Path()); {
 	case p == path && ctx.IsPost():
-		if err := f.complete(ctx, received); err != nil {
+		if err := f.complete(ctx, body, received); err != nil {
 			f.fail(ctx, err)
 		}
 	case p == models && ctx.IsGet():
@@ -94,8 +94,7 @@
 }
 
 // complete takes a request from its body to its final answer. An error is one that the core never saw.
-func (f *Front) complete(ctx *fasthttp.RequestCtx, received time.Time) error {
-	text := ctx.Request.SwapBody(nil) // it is ours from here, as attempts may outlive the handler
+func (f *Front) complete(ctx *fasthttp.RequestCtx, text []byte, received time.Time) error {
 	b, err := parse(text)
 	if err != nil {
 		return err
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	gate  *Gate
 	place *list.Element // among the waiting, guarded by the gate
 	gone  bool          // guarded by the gate
+
+	coming *list.Element // among those that read a body, guarded by the gate
+	held   int           // bytes of it
 }
 
 const (
@@ -170,22 +174,87 @@
 
 func (quiet) Printf(string, ...any) {}
 
+// Handler answers a request, whose body is its own: attempts may outlive it.
+type Handler func(ctx *fasthttp.RequestCtx, body []byte)
+
+// body reads the body of a request within the gate's bound. fasthttp by itself would make room for as much as a head
+// says, whatever comes.
+func (c *Conn) body(ctx *fasthttp.RequestCtx, most int) ([]byte, error) {
+	stream, size := ctx.RequestBodyStream(), ctx.Request.Header.ContentLength()
+	switch {
+	case stream == nil:
+		return nil, nil
+	case size > most:
+		return nil, fasthttp.ErrBodyTooLarge
+	}
+	defer c.whole()
+	if size >= 0 {
+		if !c.hold(size) {
+			return nil, net.ErrClosed
+		}
+		body := make([]byte, size)
+		_, err := io.ReadFull(stream, body)
+		return body, err
+	}
+	var body []byte
+	for {
+		if had := cap(body); len(body) == had { // in chunks: who knows how many
+			body = slices.Grow(body, bodyStep)
+			if !c.hold(cap(body) - had) {
+				return nil, net.ErrClosed
+			}
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > most:
+			return nil, fasthttp.ErrBodyTooLarge
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // NewServer makes the server of a front within its bounds. What can't be read as a request is answered by refuse.
 // While the program leaves, each answer is the last on its connection.
-func NewServer(core *dispatch.Dispatcher, handler fasthttp.RequestHandler, refuse func(ctx *fasthttp.RequestCtx, status int, text string),
+func NewServer(core *dispatch.Dispatcher, handler Handler, refuse func(ctx *fasthttp.RequestCtx, status int, text string),
 	maxBody int) *fasthttp.Server {
+	unreadable := func(ctx *fasthttp.RequestCtx, err error) {
+		ctx.Conn().(*Conn).unread = true
+		var small *fasthttp.ErrSmallBuffer
+		var late net.Error
+		switch {
+		case errors.Is(err, fasthttp.ErrBodyTooLarge):
+			refuse(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is too large")
+		case errors.As(err, &small):
+			refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is too large")
+		case errors.As(err, &late) && late.Timeout():
+			refuse(ctx, fasthttp.StatusRequestTimeout, "the request did not come in time")
+		default:
+			refuse(ctx, fasthttp.StatusBadRequest, "malformed request")
+		}
+	}
 	return &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
-			if c, ok := ctx.Conn().(*Conn); ok && !c.busy() {
-				ctx.SetConnectionClose() // nobody hears it
-				return
-			}
+			c := ctx.Conn().(*Conn)
 			if err := framing(ctx.Request.Header.RawHeaders()); err != nil {
 				refuse(ctx, fasthttp.StatusBadRequest, "malformed request: "+err.Error())
 				ctx.SetConnectionClose()
 				return
 			}
-			handler(ctx)
+			body, err := c.body(ctx, maxBody)
+			if err != nil {
+				unreadable(ctx, err)
+				ctx.SetConnectionClose()
+				return
+			}
+			if !c.busy() {
+				ctx.SetConnectionClose() // nobody hears it
+				return
+			}
+			handler(ctx, body)
 			if core.Phases.Now() >= dispatch.Leaving {
 				ctx.SetConnectionClose()
 			}
@@ -195,26 +264,10 @@
 				c.rest()
 			}
 		},
-		Concurrency: maxConns, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout,
+		Concurrency: maxConns, StreamRequestBody: true, MaxRequestBodySize: bodyAhead, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, Logger: quiet{}, CloseOnShutdown: true, ReadBufferSize: 8 << 10, WriteBufferSize: 4 << 10,
-		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
-			if c, ok := ctx.Conn().(*Conn); ok {
-				c.unread = true
-			}
-			var small *fasthttp.ErrSmallBuffer
-			var late net.Error
-			switch {
-			case errors.Is(err, fasthttp.ErrBodyTooLarge):
-				refuse(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is too large")
-			case errors.As(err, &small):
-				refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is too large")
-			case errors.As(err, &late) && late.Timeout():
-				refuse(ctx, fasthttp.StatusRequestTimeout, "the request did not come in time")
-			default:
-				refuse(ctx, fasthttp.StatusBadRequest, "malformed request")
-			}
-		},
+		ErrorHandler: unreadable,
 	}
 }
 
@@ -224,4 +277,6 @@
 	idleTimeout  = 10 * time.Second        // between requests; sooner where the place is wanted
 	writeTimeout = 15 * time.Second        // a client that takes nothing for so long has gone
 	maxConns     = 1 << 14                 // the gate bounds them
+	bodyAhead    = 1                       // byte of a body that fasthttp reads itself; the rest is for Conn.body
+	bodyStep     = 16 << 10                // of a body in chunks, the room that is made at once
 )
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -16,6 +16,10 @@
 	open    int
 	waiting list.List // of *Conn that have no open request, the longest first
 	refused int       // connections that are being told so
+
+	mostBytes int
+	bytes     int       // of bodies that are being read
+	coming    list.List // of *Conn that read one, the longest first
 }
 
 const (
@@ -25,13 +29,13 @@
 	refusal = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
-// NewGate makes a gate for at most `most` connections.
-func NewGate(most int) *Gate { return &Gate{most: most} }
+// NewGate makes a gate for at most `most` connections and so many bytes of bodies that are being read.
+func NewGate(most, bytes int) *Gate { return &Gate{most: most, mostBytes: bytes} }
 
-// Limit sets the bound anew. Connections that are open stay so.
-func (g *Gate) Limit(most int) {
+// Limit sets the bounds anew. Connections that are open stay so.
+func (g *Gate) Limit(most, bytes int) {
 	g.mu.Lock()
-	g.most = most
+	g.most, g.mostBytes = most, bytes
 	g.mu.Unlock()
 }
 
@@ -76,9 +80,46 @@
 		g.waiting.Remove(c.place)
 		c.place = nil
 	}
+	c.letGo()
 	_ = c.Conn.Close() // whoever reads it finds out
 }
 
+// hold books further bytes for the body that a connection brings. Beyond the bound, connections whose bodies have been
+// coming for the longest are closed: half of a body, held back, must not keep others out. It reports false where that
+// is this one.
+func (c *Conn) hold(bytes int) bool {
+	g := c.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.gone {
+		return false
+	}
+	if c.coming == nil {
+		c.coming = g.coming.PushBack(c)
+	}
+	c.held += bytes
+	for g.bytes += bytes; g.bytes > g.mostBytes; {
+		g.leave(g.coming.Front().Value.(*Conn))
+	}
+	return !c.gone
+}
+
+// whole ends what hold has begun.
+func (c *Conn) whole() {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.letGo()
+}
+
+// letGo gives back what the connection's body held. The gate is locked.
+func (c *Conn) letGo() {
+	if c.coming != nil {
+		c.gate.coming.Remove(c.coming)
+		c.gate.bytes -= c.held
+		c.coming, c.held = nil, 0
+	}
+}
+
 // busy takes the connection out of those that may be closed. It reports false if it is closed already.
 func (c *Conn) busy() bool {
 	g := c.gate
--- a/internal/front/platform/bad_test.go
+++ b/internal/front/platform/bad_test.go
@@ -84,6 +84,33 @@
 	}
 }
 
+// Guards: halves of large bodies, held back on every connection, filled the memory. The ones that came first are
+// closed for others, and a client whose body comes whole is served meanwhile.
+func TestHalfSentBodies(t *testing.T) {
+	_, addr := start(t, fronttest.Read, serve)
+	large := strings.Replace(raw("enquiry", "2000m"), "Content-Length: 4\r\n\r\n{  }", "Content-Length: 262144\r\n\r\n{"+strings.Repeat(" ", 1<<17), 1)
+	chunked := strings.Replace(large, "Content-Length: 262144\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n30000\r\n", 1)
+	var halves []net.Conn
+	from := time.Now()
+	for i := range 12 { // there is room for four of them
+		text := large
+		if i%2 == 0 {
+			text = chunked
+		}
+		halves = append(halves, send(t, addr, text))
+		time.Sleep(20 * time.Millisecond) // so that they come in their order
+	}
+	whole := large + strings.Repeat(" ", 1<<17-2) + "}"
+	if resp, _, ok := answer(t, send(t, addr, whole)); resp.StatusCode != 200 || !ok {
+		t.Errorf("a whole body: %d", resp.StatusCode)
+	}
+	for i, c := range halves[:7] {
+		if !ended(c, time.Second) || time.Since(from) > 2*time.Second {
+			t.Errorf("half %d is still held after %v", i, time.Since(from))
+		}
+	}
+}
+
 // Guards: what two readers may frame differently could hide a second request, and reaches no replica.
 func TestAmbiguousFraming(t *testing.T) {
 	rig, addr := start(t, fronttest.Read, serve)
@@ -137,7 +164,7 @@
 		if err := in.Read(bufio.NewReader(strings.NewReader(raw("enquiry", expires)))); err != nil {
 			t.Fatal(err)
 		}
-		q, err := f.request(&in)
+		q, err := f.request(&in, in.Body())
 		if most := 2 * fronttest.Settings().Classes[0].Deadline; err != nil || q.Ask.Remaining <= 0 || q.Ask.Remaining > most {
 			t.Errorf("%s: %v, %v", expires, q.Ask.Remaining, err)
 		}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -52,7 +52,7 @@
 
 func refuse(ctx *fasthttp.RequestCtx, status int, text string) { ctx.Error(text, status) }
 
-func (f *Front) serve(ctx *fasthttp.RequestCtx) {
+func (f *Front) serve(ctx *fasthttp.RequestCtx, body []byte) {
 	received := time.Now()
 	switch string(ctx.Path()) {
 	case "/-/ready":
@@ -67,7 +67,7 @@
 		ctx.Error("POST is wanted", fasthttp.StatusMethodNotAllowed)
 		return
 	}
-	q, err := f.request(&ctx.Request)
+	q, err := f.request(&ctx.Request, body)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		ctx.SetConnectionClose() // its next request may begin elsewhere than it seems
@@ -96,7 +96,7 @@
 }
 
 // request reads what a client sent into the core's form. An error names the header at fault.
-func (f *Front) request(in *fasthttp.Request) (dispatch.Request, error) {
+func (f *Front) request(in *fasthttp.Request, body []byte) (dispatch.Request, error) {
 	q := dispatch.Request{ID: string(in.Header.Peek("X-Trace-Id"))}
 	ask := &q.Ask
 	if !front.ValidID(q.ID) {
@@ -115,7 +115,6 @@
 		return q, fmt.Errorf("X-Object: %w", err)
 	}
 	ask.Tenant = string(in.Header.Peek("X-Customer"))
-	body := in.SwapBody(nil) // it is ours from here, as attempts may outlive the handler
 	if !jsoniter.Valid(body) {
 		return q, errors.New("the body is not JSON, or not as long as it says")
 	}
--- a/internal/fronttest/rig.go
+++ b/internal/fronttest/rig.go
@@ -14,8 +14,11 @@
 	"standpulley/logic"
 )
 
-// GateMost is how many connections of clients a front of the tests holds.
-const GateMost = 32
+// A front of the tests holds so many connections of clients, and so many bytes of bodies that are being read.
+const (
+	GateMost  = 32
+	GateBytes = 1 << 20
+)
 
 // Settings are those of a small fleet with one class of each kind.
 func Settings() logic.Settings {
@@ -80,7 +83,7 @@
 // Serve runs a front's server and gives its address.
 func (r *Rig) Serve(t *testing.T, server *fasthttp.Server) string {
 	t.Helper()
-	port, err := front.Listen("127.0.0.1:0", front.NewGate(GateMost))
+	port, err := front.Listen("127.0.0.1:0", front.NewGate(GateMost, GateBytes))
 	if err != nil {
 		t.Fatal(err)
 	}
