--- /dev/null
+++ b/cmd/standpulley/door.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"time"
+
+	"standpulley/internal/dispatch"
+	"standpulley/internal/operator"
+)
+
+const (
+	awayEvery = 100 * time.Millisecond
+	awayAfter = 400 * time.Millisecond // the front sends new connections for some 0.3 s more, with requests to come
+)
+
+// openDoor opens the operators' door. It stays as it is for as long as the program runs.
+func (p *program) openDoor(addr string) error {
+	if addr == "" {
+		return nil
+	}
+	port, err := operator.Listen(addr)
+	if err != nil {
+		return fmt.Errorf("key operator: %w", err)
+	}
+	p.door = port
+	ln := port.Attach()
+	go func() {
+		if err := operator.Server(p).Serve(ln); err != nil {
+			log.Printf("operators' door: %v", err)
+		}
+	}()
+	return nil
+}
+
+// Ready tells operators whether the program can serve, also while it sends clients away.
+func (p *program) Ready() bool {
+	s := p.live.Load()
+	return s != nil && s.core.Phases.Now() == dispatch.Ready
+}
+
+// Drain sends clients away: the front is told that this program is not ready, each answer is the last on its
+// connection, and connections without a request are closed. What comes all the same is served.
+func (p *program) Drain() { p.setAway(true) }
+
+// Resume takes clients again.
+func (p *program) Resume() { p.setAway(false) }
+
+func (p *program) setAway(away bool) {
+	p.away.Store(away)
+	if s := p.live.Load(); s != nil {
+		s.core.Phases.SendAway(away)
+	}
+	log.Printf("operators: clients are sent away: %v", away)
+}
+
+// sendAway closes the connections of clients that ask nothing while they are to go.
+func (p *program) sendAway(ctx context.Context) {
+	tick := time.NewTicker(awayEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if p.away.Load() {
+			p.gate.Empty(awayAfter)
+		}
+	}
+}
+
+// Figures tells operators what the program has done since its start, and how it stands.
+func (p *program) Figures() []byte { return nil }
--- a/cmd/standpulley/serve.go
+++ b/cmd/standpulley/serve.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -176,8 +177,12 @@
 	pool     *replica.Pool // this and the gate are the same for all stacks, as the limits are the process's
 	gate     *front.Gate
 	now      *stack
-	old      sync.WaitGroup // stacks that finish what they had taken
-	draining chan struct{}  // closed when the program drains
+	live     atomic.Pointer[stack] // the same, for the operators' door
+	door     *front.Port           // and that door
+	away     atomic.Bool           // operators have emptied the program
+	shared   bool                  // another process may listen at the clients' address: a new version takes over there
+	old      sync.WaitGroup        // stacks that finish what they had taken
+	draining chan struct{}         // closed when the program drains
 }
 
 // force puts a configuration in force. On an error the one before stays as it was. Where only discovery differs
@@ -202,7 +207,7 @@
 		if p.ports[addr] != nil {
 			continue
 		}
-		if opened[addr], err = front.Listen(addr, p.gate); err != nil {
+		if opened[addr], err = front.Listen(addr, p.gate, p.shared); err != nil {
 			for a, port := range opened {
 				if a != addr {
 					port.Finish(0)
@@ -221,6 +226,8 @@
 	runtime.GOMAXPROCS(max(int(cfg.Limits.Cores+0.5), 1))
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
 	p.now = next
+	p.live.Store(next)
+	next.core.Phases.SendAway(p.away.Load())
 	if err := next.open(p.ports, wait); err != nil {
 		return err
 	}
@@ -304,12 +311,17 @@
 	p := &program{ports: map[string]*front.Port{}, pool: replica.NewPool(0, 0, 0), gate: front.NewGate(0, 0),
 		draining: make(chan struct{})}
 	go p.pool.Sweep(ctx)
+	if m == nil {
+		p.shared = true
+		m = &managed{} // whose channels bring nothing
+	}
 	if err := p.force(cfg); err != nil {
 		return err
 	}
-	if m == nil {
-		m = &managed{} // whose channels bring nothing
+	if err := p.openDoor(cfg.Operator); err != nil {
+		return err
 	}
+	go p.sendAway(ctx)
 	for {
 		select {
 		case <-stop:
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,6 +23,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Operator  string // a door for operators alone; none if empty
 	Seed      uint64
 	Limits    Limits
 	Known     discovery.List
@@ -49,6 +50,7 @@
 	Name      string         `json:"name"`
 	Listen    string         `json:"listen"`
 	Discovery string         `json:"discovery"`
+	Operator  string         `json:"operator"`
 	Seed      string         `json:"seed"`
 	Limits    Limits         `json:"limits"`
 	Known     discovery.List `json:"known"`
@@ -56,8 +58,8 @@
 	Settings  map[string]any `json:"settings"`
 }
 
-// FromEnvironment reads the file that EDGE_CONFIG names; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY stand in for
-// keys that it lacks.
+// FromEnvironment reads the file that EDGE_CONFIG names; EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_OPERATOR
+// stand in for keys that it lacks.
 func FromEnvironment() (Config, error) {
 	path := os.Getenv("EDGE_CONFIG")
 	if path == "" {
@@ -86,11 +88,11 @@
 	if err := jsoniter.Unmarshal(text, &f); err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known, Chat: f.Chat}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Operator: f.Operator, Limits: f.Limits, Known: f.Known, Chat: f.Chat}
 	for _, d := range []struct {
 		to  *string
 		key string
-	}{{&c.Name, "EDGE_NAME"}, {&c.Listen, "EDGE_LISTEN"}, {&c.Discovery, "EDGE_DISCOVERY"}} {
+	}{{&c.Name, "EDGE_NAME"}, {&c.Listen, "EDGE_LISTEN"}, {&c.Discovery, "EDGE_DISCOVERY"}, {&c.Operator, "EDGE_OPERATOR"}} {
 		if *d.to == "" {
 			*d.to = env(d.key)
 		}
@@ -149,7 +151,7 @@
 
 // checkAddresses wants at least one front, and replicas from discovery or from the file.
 func (c *Config) checkAddresses() error {
-	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"chat.listen", c.Chat.Listen}} {
+	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"operator", c.Operator}, {"chat.listen", c.Chat.Listen}} {
 		if a.addr == "" {
 			continue
 		}
@@ -162,6 +164,8 @@
 		return &Fault{"listen", "neither this nor chat.listen is set"}
 	case c.Listen == c.Chat.Listen:
 		return &Fault{"chat.listen", "the same address as listen"}
+	case c.Operator != "" && (c.Operator == c.Listen || c.Operator == c.Chat.Listen):
+		return &Fault{"operator", "clients have this address"}
 	case c.Discovery == "" && len(c.Known.Servers) == 0:
 		return &Fault{"discovery", "not set, and known.servers lists no replica"}
 	case c.Chat.Listen != "" && len(c.Chat.Models) == 0:
--- a/internal/dispatch/phase.go
+++ b/internal/dispatch/phase.go
@@ -26,6 +26,7 @@
 	mu   sync.Mutex
 	now  Phase
 	open int
+	away bool // clients are sent away for a while: an operator empties the program
 	idle *sync.Cond
 }
 
@@ -53,6 +54,27 @@
 	return nil
 }
 
+// SendAway sends clients away from now on, or takes them again. The phase stays: what comes all the same is served.
+func (p *Phases) SendAway(away bool) {
+	p.mu.Lock()
+	p.away = away
+	p.mu.Unlock()
+}
+
+// Welcome tells whether clients may come.
+func (p *Phases) Welcome() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now == Ready && !p.away
+}
+
+// Keep tells whether clients may keep their connections after an answer.
+func (p *Phases) Keep() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now < Leaving && !p.away
+}
+
 // begin and end count the requests that are owed an answer or whose stream runs.
 func (p *Phases) begin() {
 	p.mu.Lock()
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -25,6 +25,7 @@
 
 	gate  *Gate
 	place *list.Element // among the waiting, guarded by the gate
+	since time.Time     // it has been among them since, guarded by the gate
 	gone  bool          // guarded by the gate
 
 	coming *list.Element // among those that read a body, guarded by the gate
@@ -169,10 +170,11 @@
 	return nil
 }
 
-// quiet drops fasthttp's lines on connections that ended: the core's book has the outcomes.
-type quiet struct{}
+// Quiet drops fasthttp's lines on connections that ended: the core's book has the outcomes.
+type Quiet struct{}
 
-func (quiet) Printf(string, ...any) {}
+// Printf drops a line.
+func (Quiet) Printf(string, ...any) {}
 
 // Handler answers a request, whose body is its own: attempts may outlive it.
 type Handler func(ctx *fasthttp.RequestCtx, body []byte)
@@ -255,7 +257,7 @@
 				return
 			}
 			handler(ctx, body)
-			if core.Phases.Now() >= dispatch.Leaving {
+			if !core.Phases.Keep() {
 				ctx.SetConnectionClose()
 			}
 		},
@@ -266,7 +268,7 @@
 		},
 		Concurrency: maxConns, StreamRequestBody: true, MaxRequestBodySize: bodyAhead, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		DisablePreParseMultipartForm: true, Logger: quiet{}, CloseOnShutdown: true, ReadBufferSize: 8 << 10, WriteBufferSize: 4 << 10,
+		DisablePreParseMultipartForm: true, Logger: Quiet{}, CloseOnShutdown: true, ReadBufferSize: 8 << 10, WriteBufferSize: 4 << 10,
 		ErrorHandler: unreadable,
 	}
 }
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // Gate bounds the clients' connections of all fronts together. Where a further one comes, the one that has waited
@@ -50,7 +51,7 @@
 	}
 	if g.open < g.most {
 		g.open++
-		c.place = g.waiting.PushBack(c)
+		c.wait()
 		return c
 	}
 	if g.refused >= refusedMost {
@@ -120,6 +121,15 @@
 	}
 }
 
+// Empty closes the connections that have waited for so long without an open request.
+func (g *Gate) Empty(waited time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for e := g.waiting.Front(); e != nil && time.Since(e.Value.(*Conn).since) >= waited; e = g.waiting.Front() {
+		g.leave(e.Value.(*Conn))
+	}
+}
+
 // busy takes the connection out of those that may be closed. It reports false if it is closed already.
 func (c *Conn) busy() bool {
 	g := c.gate
@@ -137,11 +147,15 @@
 	g := c.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch {
-	case c.gone:
-	case c.place == nil:
-		c.place = g.waiting.PushBack(c)
-	default:
-		g.waiting.MoveToBack(c.place)
+	if !c.gone {
+		c.wait()
+	}
+}
+
+// wait puts a connection behind all that wait. The gate is locked.
+func (c *Conn) wait() {
+	if c.place != nil {
+		c.gate.waiting.Remove(c.place)
 	}
+	c.place, c.since = c.gate.waiting.PushBack(c), time.Now()
 }
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -33,8 +33,8 @@
 
 // Ready answers whether the program takes requests: 200, or 503 with its phase.
 func Ready(ctx *fasthttp.RequestCtx, core *dispatch.Dispatcher) {
-	if phase := core.Phases.Now(); phase != dispatch.Ready {
-		ctx.Error(phase.String(), fasthttp.StatusServiceUnavailable)
+	if !core.Phases.Welcome() {
+		ctx.Error("not now: "+core.Phases.Now().String(), fasthttp.StatusServiceUnavailable)
 	}
 }
 
--- a/internal/front/port.go
+++ b/internal/front/port.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/valyala/fasthttp/tcplisten"
 )
 
 // Port is an address that is listened on. Its connections go to the Listener that was attached last, so that one
@@ -19,15 +21,27 @@
 	done chan struct{} // closed when nothing is accepted any more
 }
 
-// Listen opens an address, whose connections pass the gate. They wait until a Listener is attached.
-func Listen(addr string, gate *Gate) (*Port, error) {
-	ln, err := net.Listen("tcp", addr)
+// Listen opens an address, whose connections pass the gate. They wait until a Listener is attached. Where the address
+// is shared, another process may listen there too, as this program does when a new version takes over.
+func Listen(addr string, gate *Gate, shared bool) (*Port, error) {
+	ln, err := listen(addr, shared)
 	if err != nil {
 		return nil, err
 	}
 	return &Port{tcp: ln.(*net.TCPListener), gate: gate, done: make(chan struct{})}, nil
 }
 
+func listen(addr string, shared bool) (net.Listener, error) {
+	if !shared {
+		return net.Listen("tcp", addr)
+	}
+	network := "tcp4"
+	if a, err := net.ResolveTCPAddr("tcp", addr); err == nil && a.IP != nil && a.IP.To4() == nil {
+		network = "tcp6"
+	}
+	return (&tcplisten.Config{ReusePort: true}).NewListener(network, addr)
+}
+
 // Addr is the address that is listened on.
 func (p *Port) Addr() string { return p.tcp.Addr().String() }
 
--- a/internal/fronttest/rig.go
+++ b/internal/fronttest/rig.go
@@ -83,7 +83,7 @@
 // Serve runs a front's server and gives its address.
 func (r *Rig) Serve(t *testing.T, server *fasthttp.Server) string {
 	t.Helper()
-	port, err := front.Listen("127.0.0.1:0", front.NewGate(GateMost, GateBytes))
+	port, err := front.Listen("127.0.0.1:0", front.NewGate(GateMost, GateBytes), false)
 	if err != nil {
 		t.Fatal(err)
 	}
