--- a/cmd/standpulley/door.go
+++ b/cmd/standpulley/door.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log"
+	"maps"
+	"slices"
 	"time"
 
 	"standpulley/internal/dispatch"
@@ -71,5 +74,25 @@
 	}
 }
 
-// Figures tells operators what the program has done since its start, and how it stands.
-func (p *program) Figures() []byte { return nil }
+// Figures tells operators what the program has done since its start, and how it stands: a name, a value and whether it
+// counts or is a present one.
+func (p *program) Figures() []byte {
+	var out bytes.Buffer
+	say := func(name string, value int, kind string) { fmt.Fprintf(&out, "edge.%s:%d|%s\n", name, value, kind) }
+	if s := p.live.Load(); s != nil {
+		f, _ := s.core.Figures() // it runs for as long as it is in force
+		for _, class := range slices.Sorted(maps.Keys(f.Classes)) {
+			r := f.Classes[class]
+			say("results."+class+".succeeded", r.Served, "c")
+			say("results."+class+".declined", r.Refused, "c")
+			say("results."+class+".aborted", r.Failed, "c")
+		}
+		say("forwards", f.Written, "c")
+		say("outstanding", f.Open, "g")
+		say("discovered", f.Listed, "g")
+		say("ejected", f.LeftAlone, "g")
+	}
+	say("sighup_applied", int(p.applied.Load()), "c")
+	say("sighup_rejected", int(p.rejected.Load()), "c")
+	return out.Bytes()
+}
--- a/cmd/standpulley/main_test.go
+++ b/cmd/standpulley/main_test.go
@@ -122,13 +122,18 @@
 
 // ask sends a request on a new connection and gives what to read its answer from.
 func ask(t *testing.T, addr string, n int) net.Conn {
+	t.Helper()
+	return say(t, addr, request(addr, n))
+}
+
+func say(t *testing.T, addr, text string) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	if _, err := io.WriteString(c, request(addr, n)); err != nil {
+	if _, err := io.WriteString(c, text); err != nil {
 		t.Fatal(err)
 	}
 	return c
@@ -313,11 +318,25 @@
 	if n := strings.Count(out.String(), "n0: ready"); n != 1 {
 		t.Errorf("%d starts where one stack should go on", n)
 	}
-	write(second.Addr, strings.Replace(settings, `"try_limit":4`, `"try_limit":5`, 1)) // this takes a new stack
-	hup("n0: ready", 1)
-	if text := answered(t, ask(t, addr, 3)); !strings.Contains(text, "two") {
+	// A class comes in place of another; what runs of that one goes on. Nothing is taken of a broken file.
+	other := strings.NewReplacer(`"try_limit":4`, `"try_limit":5`, `"name":"instruction"`, `"name":"transfer"`).Replace(settings)
+	write(second.Addr, other)
+	hup("other settings are in force", 1)
+	for _, broken := range []string{"{}", strings.Replace(other, `"try_limit":5,`, "", 1), strings.Replace(other, `"deadline_us":6000000`, `"deadline_us":-1`, 1),
+		strings.Replace(other, `"name":"transfer",`, "", 1), strings.Replace(other, `"cancel":true,`, "", 1), other[:len(other)-1]} {
+		write(second.Addr, broken)
+		hup("the configuration in force stays", 1)
+	}
+	moved := strings.Replace(request(addr, 3), "X-Qos: instruction", "X-Qos: transfer", 1)
+	if text := answered(t, say(t, addr, moved)); !strings.Contains(text, "two") {
 		t.Errorf("after new settings: served by %q", text)
 	}
+	if resp, err := http.ReadResponse(bufio.NewReader(ask(t, addr, 4)), nil); err != nil || resp.StatusCode != 400 {
+		t.Errorf("a class that is no more: %v %v", resp, err)
+	}
+	if n := strings.Count(out.String(), "n0: ready"); n != 1 {
+		t.Errorf("%d starts where one stack should go on", n)
+	}
 	write(first.Addr, settings)
 	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
 		if err := cmd.Process.Signal(sig); err != nil {
--- a/cmd/standpulley/serve.go
+++ b/cmd/standpulley/serve.go
@@ -47,6 +47,7 @@
 	cfg      config.Config
 	core     *dispatch.Dispatcher
 	releaser *replica.Releaser
+	platform *platform.Front             // if there is one
 	fronts   map[string]*fasthttp.Server // by address
 	heard    chan struct{}
 	ctx      context.Context // ends with the stack
@@ -56,25 +57,25 @@
 }
 
 // newStack makes a stack that knows the replicas of a list and is not yet open to clients.
-func newStack(cfg config.Config, known dispatch.Update, pool *replica.Pool) (*stack, error) {
-	limits := cfg.Limits
+func newStack(cfg config.Config, known dispatch.Update, pool *replica.Pool, counts *dispatch.Counts) (*stack, error) {
 	s := &stack{cfg: cfg, releaser: replica.NewReleaser(pool), fronts: map[string]*fasthttp.Server{}, heard: make(chan struct{}, 1),
 		unwatch: func() {}}
 	var err error
-	s.core, err = dispatch.New(cfg.Settings, cfg.Seed, known, s.releaser, dispatch.Bounds{
-		Requests: limits.Sockets / 2, Bytes: int(bodyShare * float64(limits.MemoryMB<<20))})
+	s.core, err = dispatch.New(cfg.Settings, cfg.Seed, known, s.releaser, bounds(cfg.Limits))
 	if err != nil {
 		return nil, err
 	}
+	s.core.Counts = counts
 	if cfg.Chat.Listen != "" {
-		f, err := chat.New(s.core, pool, chat.Options{Models: cfg.Chat.Models, MaxOutput: cfg.Chat.MaxOutput})
+		f, err := chat.New(s.core, pool, cfg.Settings.Classes, chat.Options{Models: cfg.Chat.Models, MaxOutput: cfg.Chat.MaxOutput})
 		if err != nil {
 			return nil, err
 		}
 		s.fronts[cfg.Chat.Listen] = f.Server()
 	}
 	if cfg.Listen != "" {
-		s.fronts[cfg.Listen] = platform.New(s.core, pool).Server()
+		s.platform = platform.New(s.core, pool, cfg.Settings)
+		s.fronts[cfg.Listen] = s.platform.Server()
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	go s.core.Run()
@@ -82,6 +83,28 @@
 	return s, nil
 }
 
+func bounds(l config.Limits) dispatch.Bounds {
+	return dispatch.Bounds{Requests: l.Sockets / 2, Bytes: int(bodyShare * float64(l.MemoryMB<<20))}
+}
+
+// takesUp tells whether the stack can go on under another configuration: what was learned, is held and runs stays.
+func (s *stack) takesUp(cfg config.Config) bool {
+	return s.cfg.Listen == cfg.Listen && s.cfg.Chat.Listen == "" && cfg.Chat.Listen == ""
+}
+
+// takeUp puts a configuration in force that the stack can go on under.
+func (s *stack) takeUp(cfg config.Config) error {
+	if err := s.core.Retune(cfg.Settings, bounds(cfg.Limits)); err != nil {
+		return err
+	}
+	s.platform.Retune(cfg.Settings)
+	if cfg.Discovery != s.cfg.Discovery {
+		s.watch(cfg)
+	}
+	s.cfg = cfg
+	return nil
+}
+
 // watch follows the discovery that cfg names. The watches before it go on until this one has brought its list, but
 // no longer than a moment: they may still have something to tell. What they say after that is not heard.
 func (s *stack) watch(cfg config.Config) {
@@ -179,6 +202,9 @@
 	now      *stack
 	live     atomic.Pointer[stack] // the same, for the operators' door
 	door     *front.Port           // and that door
+	counts   dispatch.Counts       // of all stacks
+	applied  atomic.Int64          // files taken at SIGHUP
+	rejected atomic.Int64          // and those turned down
 	away     atomic.Bool           // operators have emptied the program
 	shared   bool                  // another process may listen at the clients' address: a new version takes over there
 	old      sync.WaitGroup        // stacks that finish what they had taken
@@ -194,11 +220,19 @@
 		log.Printf("%s: discovery is at %q now", cfg.Name, cfg.Discovery)
 		return nil
 	}
+	if before != nil && before.takesUp(cfg) {
+		if err := before.takeUp(cfg); err != nil {
+			return err
+		}
+		p.limit(cfg)
+		log.Printf("%s: other settings are in force", cfg.Name)
+		return nil
+	}
 	known, wait := cfg.Known.Update(), firstList
 	if before != nil && cfg.Discovery != "" {
 		known, wait = before.core.List(), 0
 	}
-	next, err := newStack(cfg, known, p.pool)
+	next, err := newStack(cfg, known, p.pool, &p.counts)
 	if err != nil {
 		return err
 	}
@@ -221,10 +255,7 @@
 	for addr, port := range opened {
 		p.ports[addr] = port
 	}
-	p.gate.Limit(int(clientShare*float64(cfg.Limits.Sockets)), int(comingShare*float64(cfg.Limits.MemoryMB<<20)))
-	p.pool.Limit(int(replicaShare*float64(cfg.Limits.Sockets)), cfg.Settings.ConnIdle, cfg.Settings.ConnectTimeout)
-	runtime.GOMAXPROCS(max(int(cfg.Limits.Cores+0.5), 1))
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
+	p.limit(cfg)
 	p.now = next
 	p.live.Store(next)
 	next.core.Phases.SendAway(p.away.Load())
@@ -261,6 +292,14 @@
 	return nil
 }
 
+// limit keeps the process within what a configuration states.
+func (p *program) limit(cfg config.Config) {
+	p.gate.Limit(int(clientShare*float64(cfg.Limits.Sockets)), int(comingShare*float64(cfg.Limits.MemoryMB<<20)))
+	p.pool.Limit(int(replicaShare*float64(cfg.Limits.Sockets)), cfg.Settings.ConnIdle, cfg.Settings.ConnectTimeout)
+	runtime.GOMAXPROCS(max(int(cfg.Limits.Cores+0.5), 1))
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
+}
+
 // drain accepts for a while longer and finishes what was taken.
 func (p *program) drain() error {
 	if err := p.now.core.Phases.Enter(dispatch.Draining); err != nil {
@@ -291,12 +330,18 @@
 // reload reads the configuration anew and puts it in force; a faulty one changes nothing.
 func (p *program) reload(load func() (config.Config, error)) {
 	cfg, err := load()
+	if err == nil {
+		err = cfg.Lacks(p.now.cfg)
+	}
 	if err == nil {
 		err = p.force(cfg)
 	}
 	if err != nil {
+		p.rejected.Add(1)
 		log.Printf("SIGHUP: the configuration in force stays: %v", err)
+		return
 	}
+	p.applied.Add(1)
 }
 
 // serve is the program from start to exit; load reads its configuration, and m is nil on the platform.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -29,6 +30,8 @@
 	Known     discovery.List
 	Chat      Chat
 	Settings  logic.Settings
+
+	keys map[string]bool // that the file holds, but for those of lists
 }
 
 // Chat sets up the front for the chat API; it is off unless the operator's file has it.
@@ -121,6 +124,7 @@
 	c.Known.Full = true
 	val := Values{}
 	flatten(val, "", f.Settings)
+	c.keys = f.keys(val)
 	settings, err := Settings(val)
 	if fault, ok := err.(*Fault); ok {
 		return c, &Fault{"settings." + fault.Key, fault.Text}
@@ -137,10 +141,32 @@
 	return c, nil
 }
 
+// keys gives what a file holds, of the keys that it can't do without once it had them.
+func (f *file) keys(settings Values) map[string]bool {
+	keys := map[string]bool{"name": f.Name != "", "listen": f.Listen != "", "discovery": f.Discovery != "",
+		"operator": f.Operator != "", "seed": f.Seed != "", "limits": f.Limits != Limits{}}
+	for path := range settings {
+		if !strings.HasPrefix(path, "services.") && !strings.HasPrefix(path, "tenants.") {
+			keys["settings."+path] = true
+		}
+	}
+	return keys
+}
+
+// Lacks names a key that the file in force has and this one has lost: half a file must not be taken for a whole one.
+func (c Config) Lacks(inForce Config) error {
+	for _, key := range slices.Sorted(maps.Keys(inForce.keys)) {
+		if inForce.keys[key] && !c.keys[key] {
+			return &Fault{key, "missing, and the file in force has it"}
+		}
+	}
+	return nil
+}
+
 // DiffersInDiscoveryOnly tells whether what serves o can serve c with another watch. The seed and the list of
 // replicas are for a start.
 func (c Config) DiffersInDiscoveryOnly(o Config) bool {
-	o.Name, o.Discovery, o.Seed, o.Known = c.Name, c.Discovery, c.Seed, c.Known
+	o.Name, o.Discovery, o.Seed, o.Known, o.keys = c.Name, c.Discovery, c.Seed, c.Known, c.keys
 	return reflect.DeepEqual(c, o)
 }
 
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -9,6 +9,14 @@
 	"standpulley/logic"
 )
 
+// Written is called by the transport when the attempt's last byte is written.
+func (at *attempt) Written() {
+	c := at.d.Counts
+	c.mu.Lock()
+	c.written++
+	c.mu.Unlock()
+}
+
 // Ended is called by the transport when the attempt is over.
 func (at *attempt) Ended(res Result) { at.d.post(ending{at, res}) }
 
@@ -32,6 +40,11 @@
 			r.ran = true
 		}
 	}
+	if at.stream != nil && out == logic.Delivered {
+		d.Counts.result(r.ask.Class, Served)
+	} else if at.stream != nil {
+		d.Counts.result(r.ask.Class, Failed)
+	}
 	d.Counts.ended(out)
 	d.Counts.note(r, at, out, e.res.Detail)
 	d.route(logic.Event{Kind: logic.Ended, RequestID: r.id, Server: at.server, Attempt: at.n, Outcome: out,
@@ -104,6 +117,48 @@
 	totals Totals
 	recent []Line // a ring of the last final answers
 	next   int
+
+	classes map[string]*Results
+	open    int // requests that are owed an answer, or whose stream runs
+	written int // attempts whose last byte was written
+}
+
+// Results are the requests of a class by how they ended. A stream has ended well only with its last chunk.
+type Results struct{ Served, Refused, Failed int }
+
+// Figures are what operators ask for, since the program's start.
+type Figures struct {
+	Classes           map[string]Results
+	Open, Written     int
+	Listed, LeftAlone int // replicas in the list, and those of them that are avoided now
+}
+
+// result books how a request of a class ended.
+func (c *Counts) result(class string, v Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.classes == nil {
+		c.classes = map[string]*Results{}
+	}
+	r := c.classes[class]
+	if r == nil {
+		r = &Results{}
+		c.classes[class] = r
+	}
+	switch v {
+	case Served:
+		r.Served++
+	case Refused:
+		r.Refused++
+	case Failed:
+		r.Failed++
+	}
+}
+
+func (c *Counts) opened(by int) {
+	c.mu.Lock()
+	c.open += by
+	c.mu.Unlock()
 }
 
 // Totals are the sums since the start.
@@ -143,6 +198,9 @@
 func (c *Counts) ended(o logic.Outcome) { c.update(func(t *Totals) { t.Outcomes[o.String()]++ }) }
 func (c *Counts) answered(r *request, a Answer) {
 	c.update(func(t *Totals) { t.Verdicts[a.Verdict.String()]++ })
+	if r.class != nil && a.Verdict != Served { // that shows at the stream's end
+		c.result(r.class.Name, a.Verdict)
+	}
 	c.add(Line{ID: r.id, Class: r.ask.Class, What: a.Verdict.String(), Took: took(r.received), Detail: a.Reason})
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -51,8 +51,9 @@
 	Cancel()
 }
 
-// Report is how an attempt tells of itself: Began at most once, then Ended exactly once.
+// Report is how an attempt tells of itself: Written and Began at most once, then Ended exactly once.
 type Report interface {
+	Written()
 	Began(Stream)
 	Ended(Result)
 }
@@ -114,24 +115,52 @@
 	Bytes    int // of their parcels together
 }
 
+// under gives the bounds that hold with some settings.
+func (b Bounds) under(set logic.Settings) Bounds {
+	if set.MaxOpen > 0 {
+		b.Requests = min(b.Requests, set.MaxOpen)
+	}
+	return b
+}
+
 // New makes a Dispatcher that knows the replicas of an initial list.
 func New(set logic.Settings, seed uint64, known Update, releaser Releaser, bounds Bounds) (*Dispatcher, error) {
 	router, err := logic.New(set, seed)
 	if err != nil {
 		return nil, err
 	}
-	if set.MaxOpen > 0 {
-		bounds.Requests = min(bounds.Requests, set.MaxOpen)
-	}
 	d := &Dispatcher{Phases: newPhases(), Counts: &Counts{}, set: set, router: router, releaser: releaser,
 		clock: time.Now, inbox: make(chan message, inboxSize), done: make(chan struct{}),
-		requests: map[string]*request{}, servers: map[string]*Server{}, bounds: bounds}
+		requests: map[string]*request{}, servers: map[string]*Server{}, bounds: bounds.under(set)}
 	known.apply(d)
 	return d, nil
 }
 
-// Settings are those that the dispatcher was made with.
-func (d *Dispatcher) Settings() logic.Settings { return d.set }
+// Retune puts other settings in force, or says which is wrong. Requests that are open keep their class.
+func (d *Dispatcher) Retune(set logic.Settings, bounds Bounds) error {
+	q := retuning{set, bounds, make(chan error, 1)}
+	d.post(q)
+	select {
+	case err := <-q.reply:
+		return err
+	case <-d.done:
+		return nil
+	}
+}
+
+type retuning struct {
+	set    logic.Settings
+	bounds Bounds
+	reply  chan error
+}
+
+func (q retuning) apply(d *Dispatcher) {
+	err := d.router.Retune(q.set)
+	if err == nil {
+		d.set, d.bounds = q.set, q.bounds.under(q.set)
+	}
+	q.reply <- err
+}
 
 // Run owns the core until Stop.
 func (d *Dispatcher) Run() {
--- a/internal/dispatch/inspect.go
+++ b/internal/dispatch/inspect.go
@@ -52,6 +52,35 @@
 	q <- v
 }
 
+type counting chan Figures
+
+// Figures asks the core for what operators want to know. It reports false after Stop.
+func (d *Dispatcher) Figures() (Figures, bool) {
+	q := make(counting, 1)
+	d.post(q)
+	select {
+	case f := <-q:
+		return f, true
+	case <-d.done:
+		return Figures{}, false
+	}
+}
+
+func (q counting) apply(d *Dispatcher) {
+	f := Figures{Classes: map[string]Results{}, Listed: len(d.servers), LeftAlone: d.router.LeftAlone(d.now())}
+	for _, c := range d.set.Classes {
+		f.Classes[c.Name] = Results{}
+	}
+	c := d.Counts
+	c.mu.Lock()
+	for name, r := range c.classes {
+		f.Classes[name] = *r
+	}
+	f.Open, f.Written = c.open, c.written
+	c.mu.Unlock()
+	q <- f
+}
+
 type listing chan Update
 
 // List asks the core for the list of replicas as it knows it. It gives none after Stop.
--- a/internal/dispatch/take.go
+++ b/internal/dispatch/take.go
@@ -56,6 +56,7 @@
 func (t *Ticket) Finish() {
 	close(t.finished)
 	t.d.Phases.end()
+	t.d.Counts.opened(-1)
 }
 
 // Finished is closed by Finish.
@@ -66,6 +67,7 @@
 	t := &Ticket{d: d, answer: make(chan Answer, 1), finished: make(chan struct{})}
 	t.r = &request{id: q.ID, ask: q.Ask, received: q.Received, parcel: q.Parcel, size: q.Size, movable: q.Movable, ticket: t}
 	d.Phases.begin()
+	d.Counts.opened(1)
 	d.post(arrival{t.r})
 	return t
 }
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -52,11 +52,11 @@
 }
 
 // New makes the front of a core; its requests travel by the pool.
-func New(core *dispatch.Dispatcher, pool *replica.Pool, set Options) (*Front, error) {
+func New(core *dispatch.Dispatcher, pool *replica.Pool, classes []logic.Class, set Options) (*Front, error) {
 	f := &Front{core: core, pool: pool, set: set, classes: map[string]logic.Class{}, ledger: newLedger(),
 		json: jsoniter.ConfigCompatibleWithStandardLibrary}
 	for model, name := range set.Models {
-		for _, c := range core.Settings().Classes {
+		for _, c := range classes {
 			if c.Name == name {
 				f.classes[model] = c
 			}
--- a/internal/front/chat/chat_test.go
+++ b/internal/front/chat/chat_test.go
@@ -28,7 +28,7 @@
 func start(t *testing.T, read func(*standin.Exchange), writes ...func(*standin.Exchange)) (*fronttest.Rig, string) {
 	t.Helper()
 	rig := fronttest.Start(t, read, writes...)
-	f, err := New(rig.Core, rig.Pool, options)
+	f, err := New(rig.Core, rig.Pool, fronttest.Settings().Classes, options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -401,8 +401,8 @@
 
 func TestModelsMustNameClasses(t *testing.T) {
 	rig := fronttest.Start(t, fronttest.Read)
-	if _, err := New(rig.Core, rig.Pool, Options{Models: map[string]string{"m": "none"}}); err == nil || !strings.Contains(err.Error(), "chat.models.m") {
+	if _, err := New(rig.Core, rig.Pool, fronttest.Settings().Classes, Options{Models: map[string]string{"m": "none"}}); err == nil || !strings.Contains(err.Error(), "chat.models.m") {
 		t.Errorf("got %v", err)
 	}
-	_ = platform.New(rig.Core, rig.Pool) // both fronts stand before one core
+	_ = platform.New(rig.Core, rig.Pool, fronttest.Settings()) // both fronts stand before one core
 }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -8,6 +8,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -30,21 +31,33 @@
 
 // Front serves the platform's clients.
 type Front struct {
-	core    *dispatch.Dispatcher
-	pool    *replica.Pool
+	core *dispatch.Dispatcher
+	pool *replica.Pool
+	set  atomic.Pointer[settings]
+}
+
+// settings are those of logic.Settings that the front reads.
+type settings struct {
 	classes map[string]logic.Class
-	movable bool
+	movable bool // clients ask another dispatcher for the rest of a stream
 }
 
 // New makes the front of a core; its requests travel by the pool.
-func New(core *dispatch.Dispatcher, pool *replica.Pool) *Front {
-	f := &Front{core: core, pool: pool, classes: map[string]logic.Class{}, movable: core.Settings().Movable()}
-	for _, c := range core.Settings().Classes {
-		f.classes[c.Name] = c
-	}
+func New(core *dispatch.Dispatcher, pool *replica.Pool, set logic.Settings) *Front {
+	f := &Front{core: core, pool: pool}
+	f.Retune(set)
 	return f
 }
 
+// Retune puts other settings in force for the requests to come.
+func (f *Front) Retune(set logic.Settings) {
+	s := &settings{classes: map[string]logic.Class{}, movable: set.Movable()}
+	for _, c := range set.Classes {
+		s.classes[c.Name] = c
+	}
+	f.set.Store(s)
+}
+
 // Server gives the front's server.
 func (f *Front) Server() *fasthttp.Server {
 	return front.NewServer(f.core, f.serve, refuse, maxBody)
@@ -103,7 +116,8 @@
 		return q, fmt.Errorf("X-Trace-Id: %q is not an id", q.ID)
 	}
 	ask.Class = string(in.Header.Peek("X-Qos"))
-	class, ok := f.classes[ask.Class]
+	set := f.set.Load()
+	class, ok := set.classes[ask.Class]
 	if !ok {
 		return q, fmt.Errorf("X-Qos: %q is not a class", ask.Class)
 	}
@@ -132,7 +146,7 @@
 			parcel.Headers = append(parcel.Headers, [2]string{name, string(v)})
 		}
 	}
-	q.Parcel, q.Size, q.Movable = parcel, len(body), f.movable
+	q.Parcel, q.Size, q.Movable = parcel, len(body), set.movable
 	return q, nil
 }
 
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -107,6 +107,7 @@
 		a.hangUp()
 		return a.failed(logic.ConnectFailed, err), nil // the last byte was not written: it can't have run
 	}
+	a.tell.Written()
 	if spoilt, err := a.readHead(); err != nil {
 		return a.broken(spoilt, err), nil
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -23,6 +23,7 @@
 func newReport() *report {
 	return &report{make(chan dispatch.Stream, 2), make(chan dispatch.Result, 2)}
 }
+func (r *report) Written()                {}
 func (r *report) Began(s dispatch.Stream) { r.began <- s }
 func (r *report) Ended(d dispatch.Result) { r.ended <- d }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,19 +60,53 @@
 	if err := set.check(); err != nil {
 		return nil, err
 	}
-	l := emptyRouter(set, seed)
-	shortest := time.Duration(math.MaxInt64)
+	l := emptyRouter(seed)
+	l.tune(set)
+	l.usual = l.overdue / overdueAim / overdueFactor // until reads tell, none is overdue before the shortest aim
+	return l, nil
+}
+
+// Retune puts other settings in force, or says which is wrong. What was learned stays, and so do the classes of
+// the requests that are open.
+func (l *Router) Retune(set Settings) error {
+	if err := set.check(); err != nil {
+		return err
+	}
+	l.tune(set)
+	for _, s := range l.order {
+		l.place(s)
+	}
+	l.weighPlaces()
+	return nil
+}
+
+func (l *Router) tune(set Settings) {
+	l.set = set
+	shortest, classes, tenants := time.Duration(math.MaxInt64), map[string]*classState{}, map[string]*tenantState{}
 	for _, c := range set.Classes {
 		shortest = min(shortest, c.Aim)
-		l.classes[c.Name] = &classState{Class: c}
+		if classes[c.Name] = l.classes[c.Name]; classes[c.Name] == nil || classes[c.Name].Class != c {
+			classes[c.Name] = &classState{Class: c}
+		}
 	}
 	l.overdue = overdueAim * shortest.Seconds()
-	l.usual = shortest.Seconds() / overdueFactor // until reads tell, none is overdue before the shortest aim
 	for _, t := range set.Tenants {
 		rate := t.QuotaRPS / float64(set.Siblings)
-		l.tenants[t.Name] = &tenantState{rate: rate, credit: rate * shareBurst}
+		if tenants[t.Name] = l.tenants[t.Name]; tenants[t.Name] == nil {
+			tenants[t.Name] = &tenantState{credit: rate * shareBurst}
+		}
+		tenants[t.Name].rate = rate
+	}
+	l.classes, l.tenants = classes, tenants
+}
+
+// place finds a server's role and memory by its kind.
+func (l *Router) place(s *server) {
+	for _, k := range l.set.Kinds {
+		if k.Name == s.Kind {
+			s.role, s.memory = k.Role, float64(k.MemoryTokens)
+		}
 	}
-	return l, nil
 }
 
 // Handle takes one event at clock now and appends the actions that answer it.
@@ -185,11 +219,7 @@
 		if s.Weight <= 0 {
 			s.Weight = 1
 		}
-		for _, k := range l.set.Kinds {
-			if k.Name == e.Kind {
-				s.role, s.memory = k.Role, float64(k.MemoryTokens)
-			}
-		}
+		l.place(s)
 	}
 	l.weighPlaces()
 }
@@ -254,6 +284,16 @@
 	return well
 }
 
+// LeftAlone counts the listed servers that are passed over now because they failed.
+func (l *Router) LeftAlone(now time.Duration) (n int) {
+	for _, s := range l.order {
+		if s.listed && s.fails > 0 && now < s.backAt {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *Router) failed(s *server) {
 	if s.fails == 0 && !l.young(s) {
 		s.failedAt = l.now
--- a/logic/state.go
+++ b/logic/state.go
@@ -201,11 +201,11 @@
 	return tableKey{false, r.Session}, tableKey{true, r.Prefix}
 }
 
-func emptyRouter(set Settings, seed uint64) *Router {
+func emptyRouter(seed uint64) *Router {
 	return &Router{
-		set: set, seed: seed, seq: tagRequests, retries: retryBurst,
-		classes: map[string]*classState{}, tenants: map[string]*tenantState{}, servers: map[string]*server{},
-		table: map[tableKey][]holding{}, requests: map[string]*request{}, bySeq: map[uint64]*request{},
+		seed: seed, seq: tagRequests, retries: retryBurst,
+		servers: map[string]*server{},
+		table:   map[tableKey][]holding{}, requests: map[string]*request{}, bySeq: map[uint64]*request{},
 		tolls: map[laneKey]float64{}, tries: map[tryKey]time.Duration{}, popular: map[uint64]decayed{},
 	}
 }
