--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -48,6 +48,9 @@
 		{`"siblings":3`, `"siblings":"few"`, "settings.siblings"},
 		{`["read","write"]`, `["read","sing"]`, "settings.family_info.duty_by_kind"},
 		{`"try_limit":6`, `"try_limit":0`, "MaxAttempts"},
+		{`"name":"c",`, ``, "settings.services.0.name"},
+		{`"deadline_us":6000000,`, ``, "settings.services.0.deadline_us"},
+		{`"deadline_us":6000000`, `"deadline_us":-6`, "Deadline"},
 		{`"name":"n0"`, `"name":"n0","limits":{"sockets":3}`, "limits.sockets"},
 		{`"name":"n0"`, `"name":7`, "name"},
 	} {
@@ -92,3 +95,22 @@
 		t.Errorf("%q, %v", c.Listen, err)
 	}
 }
+
+// Guards: half of a file was taken for a whole one, as defaults and the environment filled what it lacked.
+func TestLostKeysAreNamed(t *testing.T) {
+	inForce, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	env := func(string) string { return "127.0.0.1:9" }
+	for _, lost := range []string{`"listen":"127.0.0.1:1",`, `"discovery":"127.0.0.1:2",`, `"zone":"z",
+`, `"cancel":true,`} {
+		c, err := Parse([]byte(strings.Replace(good, lost, "", 1)), env)
+		if key := strings.Split(lost, `"`)[1]; err != nil || c.Lacks(inForce) == nil || !strings.Contains(c.Lacks(inForce).Error(), key) {
+			t.Errorf("without %s: %v, %v", key, err, c.Lacks(inForce))
+		}
+	}
+	if err := inForce.Lacks(inForce); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -125,11 +125,6 @@
 	}
 	for i := range c.count("services") {
 		p := fmt.Sprintf("services.%d.", i)
-		for _, key := range []string{"name", "goal_time_us", "deadline_us", "repeat"} {
-			if c.val[p+key] == "" {
-				c.fail(p+key, "missing")
-			}
-		}
 		s.Classes = append(s.Classes, logic.Class{
 			Name: c.val[p+"name"], Aim: c.time(p + "goal_time_us"), Deadline: c.time(p + "deadline_us"),
 			AimPer1K:  micros(c.at("family_info.aim_us_per_1000_prompt_tokens", i)),
@@ -138,6 +133,11 @@
 			Repeat: word(c, p+"repeat", repeats), Scope: word(c, p+"key_scope", scopes),
 			Window: c.time(p + "window_us"),
 		})
+		for _, key := range []string{"name", "goal_time_us", "deadline_us", "repeat"} {
+			if c.val[p+key] == "" {
+				c.fail(p+key, "missing")
+			}
+		}
 	}
 	for i := range c.count("tenants") {
 		p := fmt.Sprintf("tenants.%d.", i)
