--- a/logic/logic.go
+++ b/logic/logic.go
@@ -316,7 +316,7 @@
 
 // accepted notes that a read ended or a stream began: the server is well and takes the like of the request.
 func (l *Router) accepted(r *request, s *server) {
-	s.heard, s.fails, s.errors = l.now, 0, 0
+	s.heard, s.fails, s.errors, s.passed = l.now, 0, 0, max(s.passed, r.sentAt)
 	s.rate.add(l.now, 1, rateMemory)
 	s.lanes[laneOf(r)] = lane{tookAt: l.now}
 	l.tolls[laneOf(r)] -= usualShare * l.tolls[laneOf(r)]
@@ -863,14 +863,16 @@
 }
 
 // checkOverdue gives up on an attempt that takes far longer than foreseen at a server that has said nothing
-// since: silence, whatever its cause. Retries are bounded, so a slowness of all does not become a storm.
+// since: silence, whatever its cause. Where the server has answered what was sent to it later, which waits behind it,
+// only the attempt's connection is silent. Retries are bounded, so a slowness of all does not become a storm.
 func (l *Router) checkOverdue(r *request) {
 	age := (l.now - r.sentAt).Seconds()
 	s := r.at
-	if r.cancelled || age < l.patience(r.expected) || s.heard >= r.sentAt {
+	passed := s.passed > r.sentAt
+	if r.cancelled || age < l.patience(r.expected) || s.heard >= r.sentAt && !passed {
 		return
 	}
-	if l.now >= s.backAt {
+	if !passed && l.now >= s.backAt {
 		l.failed(s)
 	}
 	if !l.set.CanCancel || l.retries < 1 || r.attempts >= l.set.MaxAttempts ||
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -538,3 +538,52 @@
 		}
 	}
 }
+
+// Guards: on a connection that fell silent a read waited for half of its time, as its reader went on answering others.
+// What was sent there later has been answered: only the connection is at fault, and the reader stays in use.
+func TestPassedAttemptsAreOverdue(t *testing.T) {
+	for _, passed := range []bool{false, true} {
+		l := newRouter(t, settings(), entry("r1", "r", 1), entry("w1", "w", 1))
+		l.Handle(ms(1), arrival("stuck", 1, 0), nil)
+		if passed {
+			l.Handle(ms(10), arrival("later", 2, 0), nil)
+			l.Handle(ms(50), &Event{Kind: Ended, RequestID: "later", Server: "r1", Outcome: ReadDone, Took: ms(40)}, nil)
+		} else { // it has answered what came before
+			l.servers["r1"].heard = ms(50)
+		}
+		a := find(l.Handle(ms(900), &Event{Kind: TimerFired, Tag: tagTick}, nil), Cancel)
+		if (a != nil && a.RequestID == "stuck") != passed || l.servers["r1"].fails > 0 {
+			t.Errorf("passed %v: %+v, %d failures", passed, a, l.servers["r1"].fails)
+		}
+	}
+}
+
+// Guards: settings that come later take effect without a new start: what was learned stays, open requests keep their
+// class, and a faulty setting changes nothing.
+func TestRetune(t *testing.T) {
+	l := newRouter(t, settings(), entry("r1", "r", 1), entry("w1", "w", 1))
+	l.average = 0.0001
+	l.Handle(ms(1), arrival("old", 1, 0), nil)
+	class := l.requests["old"].class
+	bad, set := settings(), settings()
+	bad.MaxAttempts = 0
+	if err := l.Retune(bad); err == nil || l.set.MaxAttempts == 0 {
+		t.Errorf("a faulty setting: %v", err)
+	}
+	set.MaxAttempts = 2
+	set.Classes = append([]Class{{Name: "new", Aim: time.Second, Deadline: 2 * time.Second, Repeat: Unsafe}}, set.Classes...)
+	for i := range set.Classes[1:] {
+		set.Classes[1+i].Aim *= 2
+	}
+	if err := l.Retune(set); err != nil {
+		t.Fatal(err)
+	}
+	ev := arrival("new", 2, 0)
+	ev.Request.Class = "new"
+	if l.Handle(ms(2), ev, nil); l.requests["new"].class.Repeat != Unsafe || l.average == 0 || l.requests["old"].class != class {
+		t.Errorf("%+v, rate %v", l.requests["new"].class, l.average)
+	}
+	if l.servers["r1"].role != Reader || len(l.servers["r1"].waiting) != 2 {
+		t.Errorf("role %v, %d reads out", l.servers["r1"].role, len(l.servers["r1"].waiting))
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -76,6 +76,7 @@
 	offAt     time.Duration // when it was last named as not to be used
 	waiting   []*request    // attempts out that have not begun to answer
 	heard     time.Duration
+	passed    time.Duration // the latest send that it has answered
 	fails     int
 	errors    int
 	tried     decayed       // attempts that ended with an answer or an error
