--- a/cmd/standpulley/main_test.go
+++ b/cmd/standpulley/main_test.go
@@ -199,9 +199,14 @@
 }
 
 // Guards: SIGKILL cut streams whose clients then found every dispatcher restarting. Where clients ask another one for
-// the rest, streams are moved before it, and the program ends by itself; where they don't, none is cut.
+// the rest, streams are moved before it, later where a new version listens already, and the program ends by itself;
+// where they don't, none is cut.
 func TestStreamsAreMovedBeforeSIGKILL(t *testing.T) {
-	for siblings, moved := range map[int]bool{2: true, 1: false} {
+	for _, x := range []struct {
+		siblings         int
+		moved, succeeded bool
+	}{{2, true, false}, {2, true, true}, {1, false, false}} {
+		siblings, moved := x.siblings, x.moved
 		act, open, goOn := held()
 		agent, err := standin.StartAgent("127.0.0.1:0", fleet(t, act)...)
 		if err != nil {
@@ -219,10 +224,14 @@
 		wait(t, "a ready program", func() bool { return strings.Contains(out.String(), "n0: ready") })
 		c := ask(t, addr, 1)
 		<-open
+		if x.succeeded {
+			_, next := start(t, []string{"EDGE_CONFIG=" + path})
+			wait(t, "a new version", func() bool { return strings.Contains(next.String(), "n0: ready") })
+		}
+		told := time.Now()
 		if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 			t.Fatal(err)
 		}
-		told := time.Now()
 		if !moved {
 			time.AfterFunc(2*time.Second, func() { close(goOn) })
 		}
@@ -234,6 +243,9 @@
 		if moved != (err != nil) || moved && time.Since(told) > 1700*time.Millisecond {
 			t.Errorf("%d siblings: after %v the stream ends with %v: %q", siblings, time.Since(told), err, text)
 		}
+		if x.succeeded && time.Since(told) < 1100*time.Millisecond {
+			t.Errorf("moved after %v though the new version stays", time.Since(told))
+		}
 		if err := cmd.Wait(); err != nil {
 			t.Errorf("%d siblings: exit: %v\n%s", siblings, err, out)
 		}
--- a/cmd/standpulley/serve.go
+++ b/cmd/standpulley/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log"
+	"net"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -38,6 +39,7 @@
 	moveFrom      = 0.7                    // part of the time until vacatedAhead after which streams are moved ...
 	moveOver      = 0.2                    // ... one by one, over this part of it
 	releaseAhead  = time.Second            // what is held is let go before the exit, if that takes no longer
+	dialSelf      = 50 * time.Millisecond  // for a connection to the machine itself
 	bodyShare     = 0.25                   // of the memory, for the bodies of open requests
 	comingShare   = 0.1                    // and for those that are being read
 )
@@ -187,11 +189,28 @@
 // before it gets its answer. Streams that it would cut are moved, where that can be done, sooner: the clients that come
 // back then find another dispatcher rather than one that is being restarted next.
 func (s *stack) vacate() {
-	by := s.vacateBy()
-	time.AfterFunc(part(by, moveFrom), func() { s.core.Move(part(by, moveOver)) })
+	told, by := time.Now(), s.vacateBy()
+	time.AfterFunc(part(by, moveFrom), func() {
+		over := part(by, moveOver)
+		if s.succeeded() { // then somebody will be there also later, and more of them may end before
+			time.Sleep(over)
+			over = time.Until(told.Add(by)) / 2
+		}
+		s.core.Move(over)
+	})
 	time.AfterFunc(by, func() { s.core.Vacate(); s.core.Move(0) })
 }
 
+// succeeded tells whether another process, a new version, listens at the clients' address after this one has closed it.
+func (s *stack) succeeded() bool {
+	c, err := net.DialTimeout("tcp", s.cfg.Listen, dialSelf)
+	if err != nil {
+		return false
+	}
+	_ = c.Close() // nothing was said on it
+	return true
+}
+
 func part(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
 
 // program is the process: the stack in force and the ports that outlive it.
