Let requests that have begun to come go on in a drain; move the door with its key

Reread beside the drain rule: emptying closed every connection that had waited 0.4 s, also one whose request was on its way (gate.go Empty); a client that writes slowly was cut off. Only silent ones are closed now; the request has 2.5 s as ever. A door named anew at SIGHUP was kept at its old address without a word; it moves, and moves back if the rest can't be put in force.

--- a/cmd/standpulley/door.go
+++ b/cmd/standpulley/door.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"standpulley/internal/dispatch"
+	"standpulley/internal/front"
 	"standpulley/internal/operator"
 )
 
@@ -18,22 +19,28 @@
 	awayAfter = 400 * time.Millisecond // the front sends new connections for some 0.3 s more, with requests to come
 )
 
-// openDoor opens the operators' door. It stays as it is for as long as the program runs.
-func (p *program) openDoor(addr string) error {
-	if addr == "" {
+// moveDoor opens the operators' door at an address, in place of the one before. On an error that one stays.
+func (p *program) moveDoor(addr string) error {
+	if addr == p.doorAt {
 		return nil
 	}
-	port, err := operator.Listen(addr)
-	if err != nil {
-		return fmt.Errorf("key operator: %w", err)
-	}
-	p.door = port
-	ln := port.Attach()
-	go func() {
-		if err := operator.Server(p).Serve(ln); err != nil {
-			log.Printf("operators' door: %v", err)
+	var port *front.Port
+	if addr != "" {
+		var err error
+		if port, err = operator.Listen(addr); err != nil {
+			return fmt.Errorf("key operator: %w", err)
 		}
-	}()
+		ln := port.Attach()
+		go func() {
+			if err := operator.Server(p).Serve(ln); err != nil {
+				log.Printf("operators' door: %v", err)
+			}
+		}()
+	}
+	if p.door != nil {
+		p.door.Finish(0)
+	}
+	p.door, p.doorAt = port, addr
 	return nil
 }
 
--- a/cmd/standpulley/serve.go
+++ b/cmd/standpulley/serve.go
@@ -221,18 +221,33 @@
 	now      *stack
 	live     atomic.Pointer[stack] // the same, for the operators' door
 	door     *front.Port           // and that door
-	counts   dispatch.Counts       // of all stacks
-	applied  atomic.Int64          // files taken at SIGHUP
-	rejected atomic.Int64          // and those turned down
-	away     atomic.Bool           // operators have emptied the program
-	shared   bool                  // another process may listen at the clients' address: a new version takes over there
-	old      sync.WaitGroup        // stacks that finish what they had taken
-	draining chan struct{}         // closed when the program drains
+	doorAt   string
+	counts   dispatch.Counts // of all stacks
+	applied  atomic.Int64    // files taken at SIGHUP
+	rejected atomic.Int64    // and those turned down
+	away     atomic.Bool     // operators have emptied the program
+	shared   bool            // another process may listen at the clients' address: a new version takes over there
+	old      sync.WaitGroup  // stacks that finish what they had taken
+	draining chan struct{}   // closed when the program drains
 }
 
-// force puts a configuration in force. On an error the one before stays as it was. Where only discovery differs
-// the stack stays, with all that it has learned and holds; else a new one goes on with the list of the one before.
+// force puts a configuration in force. On an error the one before stays as it was.
 func (p *program) force(cfg config.Config) error {
+	door := p.doorAt
+	if err := p.moveDoor(cfg.Operator); err != nil {
+		return err
+	}
+	err := p.takeUp(cfg)
+	if err != nil {
+		if back := p.moveDoor(door); back != nil {
+			log.Printf("the door for operators: %v", back)
+		}
+	}
+	return err
+}
+
+// takeUp is force for all but the door. Where the stack can't go on, a new one does with its list of replicas.
+func (p *program) takeUp(cfg config.Config) error {
 	before := p.now
 	if before != nil && cfg.DiffersInDiscoveryOnly(before.cfg) {
 		before.watch(cfg)
@@ -382,9 +397,6 @@
 	if err := p.force(cfg); err != nil {
 		return err
 	}
-	if err := p.openDoor(cfg.Operator); err != nil {
-		return err
-	}
 	go p.sendAway(ctx)
 	for {
 		select {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -26,6 +26,7 @@
 	gate  *Gate
 	place *list.Element // among the waiting, guarded by the gate
 	since time.Time     // it has been among them since, guarded by the gate
+	began bool          // a request has begun to come meanwhile, guarded by the gate
 	gone  bool          // guarded by the gate
 
 	coming *list.Element // among those that read a body, guarded by the gate
@@ -40,7 +41,7 @@
 // Close ends the connection.
 func (c *Conn) Close() error {
 	if c.unread {
-		c.rest() // it has its answer: it may be closed sooner where its place is wanted
+		c.rest(false) // it has its answer: it may be closed sooner where its place is wanted
 		linger(c.Conn)
 	}
 	c.gate.mu.Lock()
@@ -263,7 +264,7 @@
 		},
 		ConnState: func(c net.Conn, s fasthttp.ConnState) {
 			if c, ok := c.(*Conn); ok && (s == fasthttp.StateActive || s == fasthttp.StateIdle) {
-				c.rest()
+				c.rest(s == fasthttp.StateActive)
 			}
 		},
 		Concurrency: maxConns, StreamRequestBody: true, MaxRequestBodySize: bodyAhead, ReadTimeout: readTimeout,
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -121,12 +121,15 @@
 	}
 }
 
-// Empty closes the connections that have waited for so long without an open request.
-func (g *Gate) Empty(waited time.Duration) {
+// Empty closes the connections that have said nothing for so long. A request that has begun to come may go on.
+func (g *Gate) Empty(silent time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for e := g.waiting.Front(); e != nil && time.Since(e.Value.(*Conn).since) >= waited; e = g.waiting.Front() {
-		g.leave(e.Value.(*Conn))
+	for e := g.waiting.Front(); e != nil; {
+		c := e.Value.(*Conn)
+		if e = e.Next(); !c.began && time.Since(c.since) >= silent {
+			g.leave(c)
+		}
 	}
 }
 
@@ -142,13 +145,14 @@
 	return !c.gone
 }
 
-// rest puts it back as the one that has waited the least.
-func (c *Conn) rest() {
+// rest puts it back as the one that has waited the least; began tells that a request has begun to come.
+func (c *Conn) rest(began bool) {
 	g := c.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !c.gone {
 		c.wait()
+		c.began = began
 	}
 }
 
