--- a/cmd/standpulley/door.go
+++ b/cmd/standpulley/door.go
@@ -59,6 +59,7 @@
 
 func (p *program) setAway(away bool) {
 	p.away.Store(away)
+	p.gate.SendAway(away)
 	if s := p.live.Load(); s != nil {
 		s.core.Phases.SendAway(away)
 	}
--- a/cmd/standpulley/door_test.go
+++ b/cmd/standpulley/door_test.go
@@ -138,8 +138,9 @@
 	if _, err := idle.Read(make([]byte, 1)); err == nil || isTimeout(err) {
 		t.Errorf("an idle connection: %v", err)
 	}
+	late := ask(t, addr, 2)
 	close(goOn)
-	for _, c := range []net.Conn{running, ask(t, addr, 2)} { // what runs, and who comes all the same, is served
+	for _, c := range []net.Conn{running, late} { // what runs, and who comes all the same, is served
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil {
 			t.Fatal(err)
@@ -147,6 +148,10 @@
 		if text, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || !strings.HasSuffix(string(text), "[DONE]\n\n") {
 			t.Errorf("%d %q %v", resp.StatusCode, text, err)
 		}
+		_ = c.SetReadDeadline(time.Now().Add(300 * time.Millisecond)) // sooner than a silent one is closed
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("the connection after an answer: %v", err)
+		}
 	}
 	figures("edge.outstanding:0|g", "edge.results.instruction.succeeded:2|c", "edge.results.instruction.aborted:0|c")
 	if code, _ := call("PUT", door, "/-/resume"); code != 200 {
--- a/internal/dispatch/inspect.go
+++ b/internal/dispatch/inspect.go
@@ -25,14 +25,19 @@
 type inspection chan View
 
 // Inspect asks the core for its state. It reports false after Stop.
-func (d *Dispatcher) Inspect() (View, bool) {
-	q := make(inspection, 1)
+func (d *Dispatcher) Inspect() (View, bool) { return ask(d, make(inspection, 1)) }
+
+// ask posts a question that is the channel for its answer. It reports false after Stop.
+func ask[T any, Q interface {
+	~chan T
+	message
+}](d *Dispatcher, q Q) (answer T, ok bool) {
 	d.post(q)
 	select {
-	case v := <-q:
-		return v, true
+	case answer = <-q:
+		return answer, true
 	case <-d.done:
-		return View{}, false
+		return answer, false
 	}
 }
 
@@ -55,16 +60,7 @@
 type counting chan Figures
 
 // Figures asks the core for what operators want to know. It reports false after Stop.
-func (d *Dispatcher) Figures() (Figures, bool) {
-	q := make(counting, 1)
-	d.post(q)
-	select {
-	case f := <-q:
-		return f, true
-	case <-d.done:
-		return Figures{}, false
-	}
-}
+func (d *Dispatcher) Figures() (Figures, bool) { return ask(d, make(counting, 1)) }
 
 func (q counting) apply(d *Dispatcher) {
 	f := Figures{Classes: map[string]Results{}, Listed: len(d.servers), LeftAlone: d.router.LeftAlone(d.now())}
@@ -85,14 +81,9 @@
 
 // List asks the core for the list of replicas as it knows it. It gives none after Stop.
 func (d *Dispatcher) List() Update {
-	q := make(listing, 1)
-	d.post(q)
-	select {
-	case u := <-q:
-		return u
-	case <-d.done:
-		return Update{Full: true}
-	}
+	u, _ := ask(d, make(listing, 1))
+	u.Full = true
+	return u
 }
 
 func (q listing) apply(d *Dispatcher) {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -41,7 +41,7 @@
 // Close ends the connection.
 func (c *Conn) Close() error {
 	if c.unread {
-		c.rest(false) // it has its answer: it may be closed sooner where its place is wanted
+		c.rest(true) // it has its answer: it may be closed sooner where its place is wanted
 		linger(c.Conn)
 	}
 	c.gate.mu.Lock()
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -17,6 +17,7 @@
 	open    int
 	waiting list.List // of *Conn that have no open request, the longest first
 	refused int       // connections that are being told so
+	away    bool      // none is kept after an answer
 
 	mostBytes int
 	bytes     int       // of bodies that are being read
@@ -121,6 +122,13 @@
 	}
 }
 
+// SendAway closes connections as soon as their requests have ended, or keeps them again.
+func (g *Gate) SendAway(away bool) {
+	g.mu.Lock()
+	g.away = away
+	g.mu.Unlock()
+}
+
 // Empty closes the connections that have said nothing for so long. A request that has begun to come may go on.
 func (g *Gate) Empty(silent time.Duration) {
 	g.mu.Lock()
@@ -150,7 +158,11 @@
 	g := c.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !c.gone {
+	switch {
+	case c.gone:
+	case g.away && !began: // its answer may have begun before it could say that it is the last
+		g.leave(c)
+	default:
 		c.wait()
 		c.began = began
 	}
