--- a/cmd/standpulley/serve.go
+++ b/cmd/standpulley/serve.go
@@ -192,9 +192,8 @@
 	told, by := time.Now(), s.vacateBy()
 	time.AfterFunc(part(by, moveFrom), func() {
 		over := part(by, moveOver)
-		if s.succeeded() { // then somebody will be there also later, and more of them may end before
-			time.Sleep(over)
-			over = time.Until(told.Add(by)) / 2
+		if s.succeeded() { // then somebody will be there also later: fewer at once, and more of them may end before
+			over = time.Until(told.Add(by))
 		}
 		s.core.Move(over)
 	})
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -341,6 +341,7 @@
 	}
 	d.Move(time.Second)
 	drive(d)
+	now = now.Add(500 * time.Millisecond)
 	d.ring()
 	if !streams[1].closed() || streams[0].ended.Load() {
 		t.Error("the younger one is not moved first")
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -41,7 +41,7 @@
 	}
 	slices.SortFunc(run, func(a, b *attempt) int { return b.beganAt.Compare(a.beganAt) })
 	for i, at := range run {
-		d.after(time.Duration(m)*time.Duration(i)/time.Duration(len(run)), func() { go at.stream.Close() })
+		d.after(time.Duration(m)*time.Duration(i+1)/time.Duration(len(run)), func() { go at.stream.Close() })
 	}
 }
 
