--- /dev/null
+++ b/internal/fleetmodel/client.go
@@ -0,0 +1,223 @@
+package fleetmodel
+
+import (
+	"math"
+	"time"
+
+	"standpulley/logic"
+)
+
+// The shares of their capacity at which readers and writers work on a quiet day.
+const (
+	readerLoad = 0.35
+	writerLoad = 0.55
+)
+
+// settings are those of a site of two classes: one that may be repeated and one that may not.
+func settings(day Day) logic.Settings {
+	return logic.Settings{
+		Siblings: day.Routers, Kinds: []logic.Kind{{Name: "reader", Role: logic.Reader, MemoryTokens: 215000},
+			{Name: "writer", Role: logic.Writer, MemoryTokens: 150000}},
+		Classes: []logic.Class{
+			{Name: "enquiry", Aim: 1500 * time.Millisecond, AimPer1K: 40 * time.Millisecond, TokenAim: 60 * time.Millisecond,
+				Deadline: 6 * time.Second, LateWorth: 0.3, Worth: 3},
+			{Name: "instruction", Aim: 2500 * time.Millisecond, AimPer1K: 40 * time.Millisecond, TokenAim: 80 * time.Millisecond,
+				Deadline: 10 * time.Second, LateWorth: 0.3, Worth: 2, Repeat: logic.Unsafe},
+		},
+		CanCancel: true, MaxAttempts: 6, CrossZone: 0.028, MaxRetryAfter: 2 * time.Second, ReleaseWithin: 500 * time.Millisecond,
+		ColdFrom: 0.27, RampTime: 14 * time.Second, FallMultiple: 2.5, FallTime: 3 * time.Second,
+		DrainGrace: time.Second, AnswerSlack: 16 * time.Millisecond, ConnIdle: 30 * time.Second, ConnectTimeout: 250 * time.Millisecond,
+		Resume: true,
+	}
+}
+
+// text is an opening that sessions share.
+type text struct {
+	key    uint64
+	tokens float64
+}
+
+// class is how the clients of a class behave.
+type class struct {
+	share, turns, think          float64
+	newTokens, outTokens, maxOut float64
+	openings                     float64 // for ten replicas
+	short, long                  float64 // tokens of an opening
+	shared                       float64 // part of the sessions that begin with one
+}
+
+var classes = []class{
+	{0.56, 2.8, 6, 420, 160, 500, 14, 1100, 3800, 0.88},
+	{0.44, 5.5, 2.8, 500, 100, 400, 4, 2600, 7700, 0.79},
+}
+
+func (m *Model) drawTexts() {
+	for _, c := range classes {
+		n := int(c.openings * float64(m.day.Readers+m.day.Writers) / 10)
+		var all []text
+		var weights []float64
+		for i := range max(n, 1) {
+			all = append(all, text{m.rnd.Uint64() | 1, m.between(c.short, c.long)})
+			weights = append(weights, 1/math.Pow(float64(i+1), 0.9))
+		}
+		m.texts, m.weights = append(m.texts, all), append(m.weights, weights)
+	}
+}
+
+// pick draws an index by weight.
+func (m *Model) pick(weights []float64) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	x := m.rnd.Float64() * sum
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+// talk is a session: each turn's prompt holds all that went before.
+type talk struct {
+	class  int
+	key    uint64
+	text   text
+	prompt float64
+	left   int
+	zone   int
+}
+
+// ask is one try of a request, from its arrival at a router to its answer.
+type ask struct {
+	id       string
+	talk     *talk
+	first    time.Duration // when its client first tried
+	tries    int
+	session  uint64
+	shared   uint64
+	opening  float64
+	prompt   float64
+	answer   float64
+	out      *call
+	sent     int
+	attempts int
+	at       *replica // where its state waits
+	answered bool
+	booked   bool
+}
+
+// arrivals has sessions begin so that requests come at the day's rate, from its first second on.
+func (m *Model) arrivals() {
+	turns := 0.0
+	for _, c := range classes {
+		turns += c.share / c.turns
+	}
+	var begin func()
+	begin = func() {
+		if m.now-start >= m.day.Length {
+			return
+		}
+		m.open()
+		risen := min(0.2+0.8*float64(m.now-start+prelude)/float64(prelude), 1)
+		m.after(seconds(m.rnd.ExpFloat64()/(m.day.Rate*risen*turns)), begin)
+	}
+	m.after(0, begin)
+}
+
+func (m *Model) open() {
+	shares := []float64{classes[0].share / classes[0].turns, classes[1].share / classes[1].turns}
+	m.turn(m.begin(m.pick(shares)))
+}
+
+func (m *Model) begin(ci int) *talk {
+	c := classes[ci]
+	t := &talk{class: ci, key: m.rnd.Uint64() | 1, left: 1, zone: m.rnd.IntN(m.day.Zones)}
+	for m.rnd.Float64() > 1/c.turns {
+		t.left++
+	}
+	if m.rnd.Float64() < c.shared {
+		t.text = m.texts[ci][m.pick(m.weights[ci])]
+		t.prompt = t.text.tokens
+	}
+	return t
+}
+
+// turn is a session's next request.
+func (m *Model) turn(t *talk) {
+	if m.now-start >= m.day.Length {
+		return
+	}
+	c := classes[t.class]
+	t.left--
+	t.prompt += c.newTokens * (0.4 + 0.6*m.rnd.ExpFloat64())
+	q := &ask{talk: t, first: m.now, session: t.key, shared: t.text.key, opening: t.text.tokens, prompt: t.prompt,
+		answer: min(max(c.outTokens*(0.3+0.7*m.rnd.ExpFloat64()), 4), c.maxOut)}
+	m.report.offered(m, q)
+	m.try(q)
+}
+
+// try sends a request, or a repeat of it, to a router of its client's zone.
+func (m *Model) try(q *ask) {
+	weights := make([]float64, len(m.routers))
+	for i, r := range m.routers {
+		if !r.away && r.zone == q.talk.zone {
+			weights[i] = r.weight
+		}
+	}
+	p := m.routers[m.pick(weights)].now
+	q.id = m.nextID()
+	p.open[q.id] = q
+	set := m.set.Classes[q.talk.class]
+	deadline := set.Deadline + seconds(2*set.AimPer1K.Seconds()*q.prompt/1000)
+	m.after(hop, func() {
+		p.handle(&logic.Event{Kind: logic.Arrived, RequestID: q.id, Request: logic.Request{Class: set.Name, Session: q.session,
+			Prefix: q.shared, PrefixTokens: int64(q.opening), PromptTokens: int64(q.prompt),
+			MaxOutput: int64(classes[q.talk.class].maxOut), Remaining: deadline}})
+	})
+}
+
+const (
+	mostTries = 2
+	backoff   = 200 * time.Millisecond
+)
+
+// refused and failed are answers that end a try; a client comes again where that is harmless.
+func (m *Model) refused(q *ask, pause time.Duration) {
+	if q.tries >= mostTries {
+		m.report.lost(m, q, "refused")
+		m.on(q.talk)
+		return
+	}
+	again := *q
+	again.tries++
+	again.out, again.at, again.sent, again.answered = nil, nil, 0, false
+	m.after(max(pause, backoff<<again.tries), func() { m.try(&again) })
+}
+
+func (m *Model) failed(q *ask) {
+	if m.set.Classes[q.talk.class].Repeat == logic.Safe {
+		m.refused(q, 0)
+		return
+	}
+	m.report.lost(m, q, "failed")
+	m.on(q.talk)
+}
+
+// served books the first token. The session goes on when its client has read the answer.
+func (m *Model) served(q *ask) {
+	q.answered = true
+	m.report.served(m, q)
+	t := q.talk
+	t.prompt += q.answer
+	m.on(t)
+}
+
+func (m *Model) broken(q *ask) { m.report.Broken++ }
+
+func (m *Model) on(t *talk) {
+	if t.left > 0 {
+		m.after(seconds(classes[t.class].think*m.rnd.ExpFloat64()), func() { m.turn(t) })
+	}
+}
--- /dev/null
+++ b/internal/fleetmodel/days.go
@@ -0,0 +1,62 @@
+package fleetmodel
+
+import (
+	"time"
+)
+
+// base is a fleet of the size at which a router sees about one request in two seconds.
+func base(name string) Day {
+	return Day{Name: name, Routers: 300, Readers: 40, Writers: 60, Zones: 3, Cell: 6, Rate: 160, Length: 40 * time.Second,
+		Lag: 1500 * time.Millisecond, Uneven: 0.5}
+}
+
+// Calm has no trouble.
+func Calm() Day { return base("calm") }
+
+// Roll replaces half of the fleet in steps while all routers restart, a tenth at a time.
+func Roll() Day {
+	d := base("roll")
+	for i := range 5 {
+		d.Events = append(d.Events, Change{seconds(4 + 2.4*float64(i)), func(m *Model) { m.Replace(0.1, 6*time.Second) }})
+	}
+	for i := range 10 {
+		d.Events = append(d.Events, Change{seconds(5 + 1.6*float64(i)), func(m *Model) {
+			for n := i; n < len(m.routers); n += 10 {
+				m.Restart(n)
+			}
+		}})
+	}
+	return d
+}
+
+// Join replaces six in ten within seven seconds, and lists come late.
+func Join() Day {
+	d := base("join")
+	d.Lag = 3 * time.Second
+	for i := range 6 {
+		d.Events = append(d.Events, Change{seconds(5 + 1.2*float64(i)), func(m *Model) { m.Replace(0.1, 5*time.Second) }})
+	}
+	return d
+}
+
+// Replace drains a part of those replicas that were there from the start and adds as many new ones in their places.
+func (m *Model) Replace(part float64, drain time.Duration) {
+	var old []*replica
+	for _, s := range m.fleet {
+		if s.up && !s.draining && s.started == 0 {
+			old = append(old, s)
+		}
+	}
+	m.rnd.Shuffle(len(old), func(i, j int) { old[i], old[j] = old[j], old[i] })
+	n := int(part * float64(m.day.Readers+m.day.Writers))
+	old = old[:min(n, len(old))]
+	for _, s := range old {
+		s.draining = true
+		m.after(drain, func() { s.die(); m.tell(s) })
+		m.after(seconds(m.between(0.4, 2.5)), func() {
+			zone := int(s.entry.Zone[1] - '0')
+			m.tell(m.add(s.role, zone, s.entry.Cell, false))
+		})
+	}
+	m.tell(old...)
+}
--- /dev/null
+++ b/internal/fleetmodel/replica.go
@@ -0,0 +1,304 @@
+package fleetmodel
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"standpulley/logic"
+)
+
+// replica is a reader or a writer. It does first what came first.
+type replica struct {
+	m        *Model
+	entry    logic.ServerEntry
+	role     logic.Role
+	up       bool
+	draining bool
+	started  time.Duration // 0: long ago, warm
+	coldFrom float64
+	warmIn   time.Duration
+	queueMax int
+	memory   float64 // tokens
+	bad      bool    // answers part of what it is sent with an error
+
+	// A reader's.
+	rate    float64 // tokens a second
+	waiting []*call
+	working *call
+	kept    map[textKey]*keep
+	keptSum float64
+
+	// A writer's.
+	slots   int
+	running []*call
+	used    float64 // tokens held by running answers
+	at      time.Duration
+	change  uint64 // numbers what is scheduled: only the latest counts
+
+	sends []time.Duration // while it is cold
+}
+
+// textKey names a text that a reader may have kept.
+type textKey struct {
+	shared bool
+	key    uint64
+}
+
+type keep struct {
+	tokens float64 // of the whole text
+	own    float64 // of what it takes beyond a shared opening
+	used   time.Duration
+}
+
+// add makes a replica. One that was there at the start of the day is warm.
+func (m *Model) add(role logic.Role, zone int, cell int64, warm bool) *replica {
+	m.named++
+	kind := "reader"
+	if role == logic.Writer {
+		kind = "writer"
+	}
+	s := &replica{m: m, role: role, up: true, coldFrom: m.between(0.27, 0.45), warmIn: seconds(m.between(5.2, 14)),
+		kept: map[textKey]*keep{}, entry: logic.ServerEntry{ID: fmt.Sprintf("%s-%x", kind, m.rnd.Uint32()), Kind: kind,
+			Zone: zoneName(zone), Cell: cell, Weight: 1}}
+	if role == logic.Reader {
+		s.rate, s.queueMax, s.memory = m.between(readSlow, readFast), 40, 215000
+	} else {
+		s.slots, s.queueMax, s.memory = 80, 25, 150000
+	}
+	if !warm {
+		s.restart()
+	}
+	m.fleet = append(m.fleet, s)
+	m.byID[s.entry.ID] = s
+	return s
+}
+
+func zoneName(i int) string { return fmt.Sprintf("z%d", i) }
+
+// restart makes the replica a new process: empty and cold.
+func (s *replica) restart() {
+	s.up, s.draining, s.started, s.entry.Started = true, false, s.m.now, s.m.now
+	s.kept, s.keptSum, s.sends = map[textKey]*keep{}, 0, nil
+}
+
+// die ends the replica's process. What it had is lost, and those who wait for it hear at once.
+func (s *replica) die() {
+	s.up = false
+	lost := append(slices.Clone(s.waiting), s.running...)
+	if s.working != nil {
+		lost = append(lost, s.working)
+	}
+	s.waiting, s.running, s.working, s.used = nil, nil, nil, 0
+	s.change++
+	for _, c := range lost {
+		c.end(logic.ConnectionLost, 0, false)
+	}
+}
+
+// Tokens that a warm reader reads in a second, at the slowest and at the fastest. Low against those of sites, as the
+// model leaves out what makes long prompts cost more than their length.
+const (
+	readSlow = 8500
+	readFast = 10600
+)
+
+// capacity is the part of its full speed that the replica has now.
+func (s *replica) capacity() float64 {
+	if s.started == 0 {
+		return 1
+	}
+	x := min(float64(s.m.now-s.started)/float64(s.warmIn), 1)
+	return s.coldFrom + (1-s.coldFrom)*x
+}
+
+// take is what a replica does with a call that has come.
+func (s *replica) take(c *call) {
+	s.pressure()
+	switch {
+	case !s.up:
+		c.end(logic.ConnectFailed, 0, false)
+	case s.draining:
+		c.end(logic.Full, 0, false)
+	case s.bad && s.m.rnd.Float64() < 0.1:
+		c.end(logic.ServerError, 0, false)
+	case s.role == logic.Writer && !c.q.state(c):
+		c.end(logic.Full, 0, true)
+	case len(s.waiting) >= s.queueMax:
+		s.m.report.full(s.role)
+		c.end(logic.Full, 0, false)
+	default:
+		s.waiting = append(s.waiting, c)
+		s.next()
+	}
+}
+
+// pressure notes how much of what it may be sent a cold replica has been sent in the window of the rule.
+func (s *replica) pressure() {
+	m := s.m
+	if s.started == 0 || m.now-s.started > s.warmIn {
+		return
+	}
+	s.sends = append(s.sends, m.now)
+	n := 0
+	for _, at := range s.sends {
+		if at > m.now-m.set.FallTime {
+			n++
+		}
+	}
+	each, full := float64(m.day.Readers), readerLoad
+	if s.role == logic.Writer {
+		each, full = float64(m.day.Writers), writerLoad
+	}
+	allowed := m.set.FallMultiple * s.capacity() * m.day.Rate / each / full * m.set.FallTime.Seconds()
+	m.report.Pressure = max(m.report.Pressure, float64(n)/allowed)
+}
+
+// drop takes out a call that is given up: one that waits, or runs at a writer. A read that runs goes on.
+func (s *replica) drop(c *call) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(x *call) bool { return x == c })
+	if i := slices.Index(s.running, c); i >= 0 {
+		s.advance()
+		s.leave(i)
+		s.next()
+	}
+}
+
+// next begins what can begin.
+func (s *replica) next() {
+	if s.role == logic.Writer {
+		s.write()
+	} else if s.working == nil && len(s.waiting) > 0 {
+		s.working, s.waiting = s.waiting[0], s.waiting[1:]
+		s.read(s.working)
+	}
+}
+
+// ---- reading ----
+
+func (s *replica) read(c *call) {
+	found := s.find(c.q)
+	took := 0.004 + (c.q.prompt-found)/(s.rate*s.capacity())
+	s.m.report.read(c.q.prompt-found, c.q.prompt)
+	s.m.after(seconds(took), func() {
+		if s.working != c {
+			return // it has died since
+		}
+		s.working = nil
+		s.remember(c.q)
+		if c.over {
+			s.m.report.Wasted++
+		} else {
+			c.q.at = s
+			c.q.attempts++
+			c.end(logic.ReadDone, int64(found), false)
+		}
+		s.next()
+	})
+}
+
+func keysOf(q *ask) [2]textKey { return [2]textKey{{false, q.session}, {true, q.shared}} }
+
+// find is how much of a prompt is kept.
+func (s *replica) find(q *ask) (most float64) {
+	for _, k := range keysOf(q) {
+		if t := s.kept[k]; t != nil {
+			t.used = s.m.now
+			most = max(most, t.tokens)
+		}
+	}
+	return min(most, q.prompt-1)
+}
+
+// remember keeps a prompt and its shared opening, and forgets what was used the longest ago.
+func (s *replica) remember(q *ask) {
+	s.put(textKey{false, q.session}, q.prompt, q.prompt-q.opening)
+	if q.shared != 0 {
+		s.put(textKey{true, q.shared}, q.opening, q.opening)
+	}
+	for s.keptSum > s.memory*0.8 {
+		var oldest textKey
+		at := time.Duration(math.MaxInt64)
+		for k, t := range s.kept {
+			if t.used < at || t.used == at && k.key < oldest.key {
+				oldest, at = k, t.used
+			}
+		}
+		s.keptSum -= s.kept[oldest].own
+		delete(s.kept, oldest)
+	}
+}
+
+func (s *replica) put(k textKey, tokens, own float64) {
+	if old := s.kept[k]; old != nil {
+		s.keptSum -= old.own
+	}
+	s.kept[k] = &keep{tokens, own, s.m.now}
+	s.keptSum += own
+}
+
+// ---- writing ----
+
+// step is the seconds that a token takes each answer that runs.
+func (s *replica) step() float64 {
+	return (0.014 + 0.0002*float64(len(s.running)) + 0.00005*s.used/1000) / s.capacity()
+}
+
+// advance books what the running answers have got since the last change.
+func (s *replica) advance() {
+	if n := (s.m.now - s.at).Seconds() / s.step(); len(s.running) > 0 {
+		for _, c := range s.running {
+			c.left -= n
+		}
+	}
+	s.at = s.m.now
+}
+
+func (s *replica) leave(i int) {
+	s.used -= s.running[i].q.prompt + s.running[i].q.answer
+	s.running = slices.Delete(s.running, i, i+1)
+}
+
+// write begins what waits, as far as there is room, and has the next answer end in time.
+func (s *replica) write() {
+	s.advance()
+	for len(s.waiting) > 0 && len(s.running) < s.slots && s.used+s.waiting[0].q.prompt+s.waiting[0].q.answer <= s.memory {
+		c := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		c.left = c.q.answer
+		s.running = append(s.running, c)
+		s.used += c.q.prompt + c.q.answer
+		fetch := c.q.prompt / 280000
+		if c.q.at.entry.Zone != s.entry.Zone {
+			fetch *= 2
+		}
+		c.q.at = nil
+		s.m.after(seconds(fetch+s.step()), func() { c.begin() })
+	}
+	s.change++
+	mine, least := s.change, math.Inf(1)
+	for _, c := range s.running {
+		least = min(least, c.left)
+	}
+	if len(s.running) == 0 {
+		return
+	}
+	s.m.after(seconds(max(least, 0)*s.step())+time.Microsecond, func() {
+		if s.change != mine {
+			return
+		}
+		s.advance()
+		var done []*call
+		for i := len(s.running) - 1; i >= 0; i-- {
+			if s.running[i].left <= 1e-3 {
+				done = append(done, s.running[i])
+				s.leave(i)
+			}
+		}
+		s.write()
+		for _, c := range done {
+			c.end(logic.Delivered, 0, false)
+		}
+	})
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,7 +15,9 @@
 	balancingThreshold = 2.0                    // Algorithm 1: a match this much shorter is none
 	homePrice          = 4.0                    // read times added for a further home while all queue
 	homesPerShare      = 4.0                    // homes of a key for each reader's worth of its traffic
-	shareDoubt         = 10.0                   // arrivals assumed beside those seen
+	homesLeast         = 0.05                   // and so many for each reader where few arrivals show no share
+	homesDoubt         = 0.125                  // requests at home at a cold reader that are no crowd
+	shareDoubt         = 10                     // arrivals assumed beside those seen
 	pullMost           = 3.0                    // a reader is a home no more seldom than by this
 	aimShare           = 0.7                    // waiting may use this share of the aim: estimates err
 	zonePrice          = 5.0                    // shares of the aim that a reader elsewhere must be sooner by, for its price
@@ -267,7 +269,7 @@
 	for _, s := range l.order {
 		switch {
 		case (s.role == Reader) != readers || !s.listed || !l.allowed(r, s):
-		case l.now < s.lane(r).fullTill || l.young(s) && !l.coldAllows(s):
+		case l.now < s.lane(r).fullTill || l.young(s) && !l.coldAllows(s) && !(readers && l.sparse()):
 		case s.fails == 0 || len(s.waiting) == 0 && l.coldAllows(s) && l.now >= s.backAt:
 			well = append(well, s)
 		case len(s.waiting) == 0:
@@ -284,16 +286,6 @@
 	return well
 }
 
-// LeftAlone counts the listed servers that are passed over now because they failed.
-func (l *Router) LeftAlone(now time.Duration) (n int) {
-	for _, s := range l.order {
-		if s.listed && s.fails > 0 && now < s.backAt {
-			n++
-		}
-	}
-	return n
-}
-
 func (l *Router) failed(s *server) {
 	if s.fails == 0 && !l.young(s) {
 		s.failedAt = l.now
@@ -364,16 +356,6 @@
 	return m
 }
 
-// mix spreads a key over all 64 bits.
-func mix(h uint64) uint64 {
-	h = (h ^ h>>31) * 0x9e3779b97f4a7c15
-	h = (h ^ h>>29) * 0xbf58476d1ce4e5b9
-	return h ^ h>>32
-}
-
-// unit is a number from 0 to 1 by a hash.
-func unit(h uint64) float64 { return float64(mix(h)>>11) / (1 << 53) }
-
 // homes are the readers that a key's hash picks, the same at every router with the same list: one, and some
 // more for each reader's worth of traffic that begins with the key, as its share of arrivals here tells.
 // They are ordered by the session's hash, so that its later prompts find its earlier ones.
@@ -381,7 +363,11 @@
 	key := cmp.Or(r.Prefix, r.Session)
 	s := l.popular[key]
 	share := (s.add(l.now, 0, keyLife) - 0.5) / (l.arrivals.add(l.now, 0, keyLife) + shareDoubt)
-	n := min(1+int(homesPerShare*max(share, 0)*float64(len(from))), len(from))
+	more := int(homesPerShare * max(share, 0) * float64(len(from)))
+	if l.sparse() { // a share seen is chance, and each change of it moves sessions
+		more = max(int(homesLeast*float64(len(from))), 1)
+	}
+	n := min(1+more, len(from))
 	all := make([]drawn, 0, len(from))
 	for _, s := range from {
 		lot := s.draw(key)
@@ -433,8 +419,15 @@
 // chooseReader gives the reader with the lowest wait plus unmatched read time.
 func (l *Router) chooseReader(r *request) (best readChoice) {
 	readers := l.candidates(r, true)
-	held := l.matches(r)
-	for i, home := range l.homes(r, readers) { // others that know the list send the same key here
+	held, homes := l.matches(r), l.homes(r, readers)
+	if l.sparse() && len(homes) > 0 {
+		home := homes[0].at
+		joins := l.joins(r, home)
+		home.homed.add(l.now, 1, keyLife)
+		readers = slices.DeleteFunc(readers, func(s *server) bool { return l.young(s) && !(s == home && joins) })
+		homes = l.homes(r, readers)
+	}
+	for i, home := range homes { // others that know the list send the same key here
 		s := home.at
 		most := r.PrefixTokens
 		if i == 0 && r.Session != 0 {
@@ -518,7 +511,7 @@
 	if age := l.now - s.reportAt; s.reportAt > 0 && age < queueMemory && s.report.MemoryHeld >= 0 {
 		load += (max(s.report.MemoryHeld+s.sentTok/memory, s.held/memory) - load) * fade(age, queueMemory)
 	}
-	if l.cold(s) {
+	if l.cold(s) && !l.young(s) { // a young one is sent no more than its part anyway
 		load /= l.warmth(s)
 	}
 	return load
@@ -554,7 +547,9 @@
 			continue
 		}
 		near := 0
-		if stay && s.Cell == r.state.Cell {
+		if l.young(s) && r.state != nil && s.Zone == r.state.Zone { // it has a turn, and turns unused are lost
+			near = 3
+		} else if stay && s.Cell == r.state.Cell {
 			near = 2
 		} else if stayInZone && s.Zone == r.state.Zone {
 			near = 1
@@ -587,11 +582,12 @@
 	r.first = l.tries[try]
 	l.open = append(l.open, r)
 	l.out = append(l.out, Action{Kind: Wake, After: r.Remaining, Tag: r.seq})
-	l.retries = min(l.retries+retryShare, retryBurst)
+	l.retries = min(l.retries+retryShare, 1+retryShare*l.arrivals.add(l.now, 0, keyLife), retryBurst)
 	s := l.popular[cmp.Or(r.Prefix, r.Session)]
 	s.add(l.now, 1, keyLife)
 	l.popular[cmp.Or(r.Prefix, r.Session)] = s
 	l.arrivals.add(l.now, 1, keyLife)
+	l.came.add(l.now, 1, rateMemory)
 	over := l.overShare(r)
 	c := l.chooseReader(r)
 	pause, no := l.refuses(r, c, over)
@@ -904,26 +900,48 @@
 	return max(l.set.ColdFrom+(1-l.set.ColdFrom)*x*x, 0.05)
 }
 
-// coldAllows keeps what all routers together send a cold server under the rule. What warm servers of its kind
-// serve from here stands for our part of a capacity and earns turns. They begin at a seeded part of one, so
-// where a part is far below one send a window, a few routers have their turn in each window.
+// sparse tells whether this router, one of many, sees too little of the fleet to know its part of it.
+func (l *Router) sparse() bool {
+	return l.set.Siblings > shareDoubt && l.came.add(l.now, 0, rateMemory) < shareDoubt
+}
+
+// joins tells whether a session is among those that a reader takes whose home it is. Where routers see little, a young
+// one gets the part of them that its warmth bears: all draw alike, whatever they have seen. Where more of what is seen
+// is at home there than at others, it gets less, and from none more than a turn ahead.
+func (l *Router) joins(r *request, s *server) bool {
+	l.coldAllows(s)
+	even := l.arrivals.add(l.now, 0, keyLife) / float64(len(l.order))
+	crowded := s.homed.add(l.now, 0, keyLife) / (homesDoubt * (1 + 2*even))
+	return !l.young(s) || s.turns >= 0 && unit(mix(r.Session+1)^s.hash)*max(crowded, 1) < coldSafety*l.set.FallMultiple*l.warmth(s)
+}
+
+// coldAllows keeps what all routers together send a cold server under the rule. What a warm server of its kind serves
+// for each arrival here stands for our part of a capacity and earns turns. A router that has seen few arrivals presumes
+// that they are shared evenly: over all routers that is right, while what each has seen served itself starves
+// newcomers where routers restart. Turns begin at a seeded part of one, so where a part is far below one send a
+// window, a few routers have their turn in each window.
 func (l *Router) coldAllows(s *server) bool {
 	if !l.cold(s) {
 		return true
 	}
-	var served, weight float64
+	var served, weight, role float64
 	for _, o := range l.order {
-		if o.listed && o.Kind == s.Kind && !l.cold(o) {
-			served += o.rate.add(l.now, 0, rateMemory)
-			weight += o.Weight
+		if o.listed && (o.role == Reader) == (s.role == Reader) {
+			role += o.Weight
+			if !l.cold(o) && o.Kind == s.Kind {
+				served += o.rate.add(l.now, 0, rateMemory)
+				weight += o.Weight
+			}
 		}
 	}
-	window := l.set.FallTime.Seconds()
-	part := 1 / float64(l.set.Siblings) // one send a window by all, where nothing warm tells more
-	if weight > 0 {
-		perWindow := served / weight * s.Weight * window / rateMemory.Seconds()
-		part = max(part, coldSafety*l.set.FallMultiple*l.warmth(s)*perWindow)
+	window, came := l.set.FallTime.Seconds(), l.came.add(l.now, 0, rateMemory)
+	doubt := max(shareDoubt-came, 0)
+	if s.role == Mixed { // what a kind gets beside others shows in time only
+		doubt = 0
 	}
+	share := (served/max(weight, 1e-9) + doubt/max(role, s.Weight)) / max(came+doubt, 1e-9) // of each arrival
+	part := max(1/float64(l.set.Siblings),                                                  // one send a window by all, where nothing tells more
+		coldSafety*l.set.FallMultiple*l.warmth(s)*s.Weight*share*came*window/rateMemory.Seconds())
 	if s.turnsAt < max(s.Started, s.failedAt) {
 		s.turns, s.turnsAt = unit(l.seed^s.hash), l.now
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -88,6 +88,7 @@
 	turns     float64 // sends that the cold rule leaves this router, earned up to turnsAt
 	turnsAt   time.Duration
 	rate      decayed // reads ended and streams begun
+	homed     decayed // requests whose first home it was
 	perToken  float64 // seconds a token, learned from reads, last at rateAt
 	extra     float64 // seconds that reads waited beyond that
 	rateAt    time.Duration
@@ -163,6 +164,7 @@
 	retries  float64
 	popular  map[uint64]decayed // arrivals by shared beginning, or by session
 	arrivals decayed
+	came     decayed                  // the same with the memory of rates
 	tries    map[tryKey]time.Duration // when a request was first seen
 	tolls    map[laneKey]float64      // seconds that refusals lately cost an attempt
 	overdue  float64                  // seconds
@@ -204,7 +206,7 @@
 
 func emptyRouter(seed uint64) *Router {
 	return &Router{
-		seed: seed, seq: tagRequests, retries: retryBurst,
+		seed: seed, seq: tagRequests, retries: 1,
 		servers: map[string]*server{},
 		table:   map[tableKey][]holding{}, requests: map[string]*request{}, bySeq: map[uint64]*request{},
 		tolls: map[laneKey]float64{}, tries: map[tryKey]time.Duration{}, popular: map[uint64]decayed{},
@@ -240,3 +242,23 @@
 	}
 	return nil
 }
+
+// LeftAlone counts the listed servers that are passed over now because they failed.
+func (l *Router) LeftAlone(now time.Duration) (n int) {
+	for _, s := range l.order {
+		if s.listed && s.fails > 0 && now < s.backAt {
+			n++
+		}
+	}
+	return n
+}
+
+// mix spreads a key over all 64 bits.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>31) * 0x9e3779b97f4a7c15
+	h = (h ^ h>>29) * 0xbf58476d1ce4e5b9
+	return h ^ h>>32
+}
+
+// unit is a number from 0 to 1 by a hash.
+func unit(h uint64) float64 { return float64(mix(h)>>11) / (1 << 53) }
