Remove dead state of the fleet model and a repeated computation of homes

Read once more: fields of the model that nothing used, a closure in its report that a method replaces, the loop of restarts that stood twice, parameters nobody read; in logic, homes were computed a second time where no reader had been taken out, and the turns of a candidate counted a second time at one instant.

--- a/internal/fleetmodel/client.go
+++ b/internal/fleetmodel/client.go
@@ -104,7 +104,6 @@
 	sent     int
 	at       *replica // where its state waits
 	answered bool
-	booked   bool
 }
 
 // arrivals has sessions begin so that requests come at the day's rate, from its first second on.
@@ -153,7 +152,7 @@
 	t.prompt += c.newTokens * (0.4 + 0.6*m.rnd.ExpFloat64())
 	q := &ask{talk: t, first: m.now, session: t.key, shared: t.text.key, opening: t.text.tokens, prompt: t.prompt,
 		answer: min(max(c.outTokens*(0.3+0.7*m.rnd.ExpFloat64()), 4), c.maxOut)}
-	m.report.offered(m, q)
+	m.report.offered(q)
 	m.try(q)
 }
 
@@ -185,7 +184,7 @@
 // refused and failed are answers that end a try; a client comes again where that is harmless.
 func (m *Model) refused(q *ask, pause time.Duration) {
 	if q.tries >= mostTries {
-		m.report.lost(m, q, "refused")
+		m.report.row(q).Refused++
 		m.on(q.talk)
 		return
 	}
@@ -200,21 +199,19 @@
 		m.refused(q, 0)
 		return
 	}
-	m.report.lost(m, q, "failed")
+	m.report.row(q).Failed++
 	m.on(q.talk)
 }
 
 // served books the first token. The session goes on when its client has read the answer.
 func (m *Model) served(q *ask) {
 	q.answered = true
-	m.report.served(m, q)
+	m.report.served(q, m.now-q.first)
 	t := q.talk
 	t.prompt += q.answer
 	m.on(t)
 }
 
-func (m *Model) broken() { m.report.Broken++ }
-
 func (m *Model) on(t *talk) {
 	if t.left > 0 {
 		m.after(seconds(classes[t.class].think*m.rnd.ExpFloat64()), func() { m.turn(t) })
--- a/internal/fleetmodel/days.go
+++ b/internal/fleetmodel/days.go
@@ -21,14 +21,7 @@
 	for i := range 5 {
 		d.Events = append(d.Events, Change{seconds(4 + 2.4*float64(i)), func(m *Model) { m.Replace(0.1, 6*time.Second) }})
 	}
-	for i := range 10 {
-		d.Events = append(d.Events, Change{seconds(5 + 1.6*float64(i)), func(m *Model) {
-			for n := i; n < len(m.routers); n += 10 {
-				m.Restart(n)
-			}
-		}})
-	}
-	return d
+	return d.restarting(5, 1.6)
 }
 
 // Join replaces six in ten within seven seconds, and lists come late.
@@ -41,6 +34,18 @@
 	return d
 }
 
+// restarting has all routers restart, a tenth at a time: the first at a time in seconds, the others each so much later.
+func (d Day) restarting(first, apart float64) Day {
+	for i := range 10 {
+		d.Events = append(d.Events, Change{seconds(first + apart*float64(i)), func(m *Model) {
+			for n := i; n < len(m.routers); n += 10 {
+				m.Restart(n)
+			}
+		}})
+	}
+	return d
+}
+
 // Replace drains a part of those replicas that were there from the start and adds as many new ones in their places.
 func (m *Model) Replace(part float64, drain time.Duration) {
 	var old []*replica
@@ -132,14 +137,7 @@
 func Forgotten() Day {
 	d := Join()
 	d.Name = "forgotten"
-	for i := range 10 {
-		d.Events = append(d.Events, Change{seconds(11 + 0.2*float64(i)), func(m *Model) {
-			for n := i; n < len(m.routers); n += 10 {
-				m.Restart(n)
-			}
-		}})
-	}
-	return d
+	return d.restarting(11, 0.2)
 }
 
 // Days are all of them, by name.
--- a/internal/fleetmodel/model.go
+++ b/internal/fleetmodel/model.go
@@ -46,10 +46,8 @@
 	fleet   []*replica
 	byID    map[string]*replica
 	routers []*router
-	named   int // replicas made so far
 	texts   [][]text
 	weights [][]float64
-	turns   []float64
 	asked   uint64
 	report  Report
 }
@@ -99,7 +97,7 @@
 func Run(day Day, seed uint64) (Report, error) {
 	m := &Model{day: day, rnd: rand.New(rand.NewPCG(seed, 0x5eed)), now: start - prelude, byID: map[string]*replica{}}
 	m.set = settings(day)
-	m.report = newReport(day, m.set)
+	m.report = newReport(m)
 	for i := range day.Readers + day.Writers {
 		role := logic.Writer
 		if i*day.Readers/(day.Readers+day.Writers) != (i+1)*day.Readers/(day.Readers+day.Writers) {
--- a/internal/fleetmodel/replica.go
+++ b/internal/fleetmodel/replica.go
@@ -54,7 +54,6 @@
 
 // add makes a replica. One that was there at the start of the day is warm.
 func (m *Model) add(role logic.Role, zone int, cell int64, warm bool) *replica {
-	m.named++
 	kind := "reader"
 	if role == logic.Writer {
 		kind = "writer"
--- a/internal/fleetmodel/report.go
+++ b/internal/fleetmodel/report.go
@@ -31,40 +31,37 @@
 	Broken    int     // streams cut by the death of their writer
 	anew, all float64 // tokens read, and of all prompts read
 	set       logic.Settings
-	now       func(at time.Duration) *Row
+	before    Row // the prelude
 }
 
-func newReport(day Day, set logic.Settings) Report {
-	r := Report{set: set, Rows: make([]Row, int((day.Length+window-1)/window))}
-	before := &Row{} // the prelude
-	r.now = func(at time.Duration) *Row {
-		if at < start {
-			return before
-		}
-		return &r.Rows[min(int((at-start)/window), len(r.Rows)-1)]
+func newReport(m *Model) Report {
+	return Report{set: m.set, Rows: make([]Row, int((m.day.Length+window-1)/window))}
+}
+
+// row is the part of the day in which a request came first.
+func (r *Report) row(q *ask) *Row {
+	if q.first < start {
+		return &r.before
 	}
-	return r
+	return &r.Rows[min(int((q.first-start)/window), len(r.Rows)-1)]
 }
 
 func (r *Report) worth(q *ask) float64 {
 	return r.set.Classes[q.talk.class].Worth * (q.prompt/20 + q.answer)
 }
 
-func (r *Report) offered(m *Model, q *ask) {
-	row := r.now(q.first)
+func (r *Report) offered(q *ask) {
+	row := r.row(q)
 	row.Offered++
 	row.worth += r.worth(q)
 }
 
-func (r *Report) sent(q *ask) { r.now(q.first).Sends++ }
-
 func (r *Report) read(anew, all float64) {
 	r.anew, r.all = r.anew+anew, r.all+all
 }
 
-func (r *Report) served(m *Model, q *ask) {
-	class := r.set.Classes[q.talk.class]
-	row, took := r.now(q.first), m.now-q.first
+func (r *Report) served(q *ask, took time.Duration) {
+	class, row := r.set.Classes[q.talk.class], r.row(q)
 	row.waits = append(row.waits, took.Seconds())
 	if took <= class.Aim+seconds(class.AimPer1K.Seconds()*q.prompt/1000) {
 		row.InTime++
@@ -75,21 +72,12 @@
 	}
 }
 
-func (r *Report) lost(m *Model, q *ask, how string) {
-	if row := r.now(q.first); how == "refused" {
-		row.Refused++
-	} else {
-		row.Failed++
-	}
-}
-
 func (r *Report) finish() {
 	var worth, earned float64
 	for _, row := range r.Rows {
 		worth, earned = worth+row.worth, earned+row.earned
 	}
 	r.Served = earned / max(worth, 1e-9)
-	r.now = nil
 }
 
 // InTime is the share of requests answered in time that came between two times of the day.
--- a/internal/fleetmodel/router.go
+++ b/internal/fleetmodel/router.go
@@ -31,7 +31,7 @@
 	open  map[string]*ask
 }
 
-// boot starts a process that knows the settings and the list as it was told last, and nothing else.
+// boot starts a process that knows the settings and the list as it is now, and nothing else.
 func (r *router) boot() error {
 	r.boots++
 	set := r.m.set
@@ -69,9 +69,7 @@
 			list = append(list, s.listed())
 		}
 		m.after(seconds(m.day.Lag.Seconds()*m.between(0.8, 1.2)), func() {
-			if r.now != nil {
-				r.now.handle(&logic.Event{Kind: logic.ListChanged, Servers: list})
-			}
+			r.now.handle(&logic.Event{Kind: logic.ListChanged, Servers: list})
 		})
 	}
 }
@@ -107,7 +105,7 @@
 	case logic.Send:
 		c := &call{p: p, q: q, n: q.sent, to: m.byID[a.Server], sentAt: m.now}
 		q.sent++
-		m.report.sent(q)
+		m.report.row(q).Sends++
 		q.out = c
 		m.after(a.Until-m.now, func() { c.giveUp(logic.TimedOut) })
 		m.after(hop+dialTime, func() {
@@ -195,7 +193,7 @@
 		q.out = nil
 	}
 	if as == logic.ConnectionLost && c.began {
-		p.r.m.broken()
+		p.r.m.report.Broken++
 	}
 	over := q.answered || as == logic.Delivered || c.began
 	p.handle(&logic.Event{Kind: logic.Ended, RequestID: q.id, Server: c.to.entry.ID, Attempt: c.n, Outcome: as,
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -424,8 +424,11 @@
 		home := homes[0].at
 		joins := l.joins(r, home)
 		home.homed.add(l.now, 1, keyLife)
+		all := len(readers)
 		readers = slices.DeleteFunc(readers, func(s *server) bool { return l.young(s) && !(s == home && joins) })
-		homes = l.homes(r, readers)
+		if len(readers) < all {
+			homes = l.homes(r, readers)
+		}
 	}
 	for i, home := range homes { // others that know the list send the same key here
 		s := home.at
@@ -907,12 +910,15 @@
 
 // joins tells whether a session is among those that a reader takes whose home it is. Where routers see little, a young
 // one gets the part of them that its warmth bears: all draw alike, whatever they have seen. Where more of what is seen
-// is at home there than at others, it gets less, and from none more than a turn ahead.
+// is at home there than at others, it gets less, and from none more than a turn ahead. Its turns have been counted up to
+// now, as the reader is a candidate.
 func (l *Router) joins(r *request, s *server) bool {
-	l.coldAllows(s)
+	if !l.young(s) {
+		return true
+	}
 	even := l.arrivals.add(l.now, 0, keyLife) / float64(len(l.order))
 	crowded := s.homed.add(l.now, 0, keyLife) / (homesDoubt * (1 + 2*even))
-	return !l.young(s) || s.turns >= 0 && unit(mix(r.Session+1)^s.hash)*max(crowded, 1) < coldSafety*l.set.FallMultiple*l.warmth(s)
+	return s.turns >= 0 && unit(mix(r.Session+1)^s.hash)*max(crowded, 1) < coldSafety*l.set.FallMultiple*l.warmth(s)
 }
 
 // coldAllows keeps what all routers together send a cold server under the rule. What a warm server of its kind serves
@@ -940,8 +946,8 @@
 		doubt = 0
 	}
 	share := (served/max(weight, 1e-9) + doubt/max(role, s.Weight)) / max(came+doubt, 1e-9) // of each arrival
-	part := max(1/float64(l.set.Siblings),                                                  // one send a window by all, where nothing tells more
-		coldSafety*l.set.FallMultiple*l.warmth(s)*s.Weight*share*came*window/rateMemory.Seconds())
+	part := coldSafety * l.set.FallMultiple * l.warmth(s) * s.Weight * share * came * window / rateMemory.Seconds()
+	part = max(part, 1/float64(l.set.Siblings)) // one send a window by all, where nothing tells more
 	if s.turnsAt < max(s.Started, s.failedAt) {
 		s.turns, s.turnsAt = unit(l.seed^s.hash), l.now
 	}
