Take an answer as begun only with its first whole event: half of one was passed on as an answer

Change: the attempt is read up to the end of its first event (lines up to an empty one, among them one with data) before it has begun. One that breaks off sooner has failed and may have run, as the protocol has it: an instruction is answered, an enquiry is tried again. The new test fails without the change ('reset after 1 bytes in chunks of 1: it has begun').

--- a/internal/replica/answer.go
+++ b/internal/replica/answer.go
@@ -62,6 +62,20 @@
 	}
 }
 
+// hasEvent tells whether text holds a whole event: lines up to an empty one, among them one with data.
+func hasEvent(text []byte) bool {
+	data := false
+	for line := range bytes.Lines(text) {
+		switch end := bytes.TrimRight(line, "\r\n"); {
+		case bytes.HasPrefix(line, []byte("data")):
+			data = true
+		case len(end) == 0 && data && line[len(line)-1] == '\n':
+			return true
+		}
+	}
+	return false
+}
+
 // body gives the reader of the answer's body, which ends with io.EOF only where the body is whole.
 func body(h *fasthttp.ResponseHeader, br *bufio.Reader) io.Reader {
 	switch n := h.ContentLength(); {
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -118,11 +118,7 @@
 	}
 	a.hurry(time.Until(a.to.Until))
 	s := &stream{a: a, body: body, buf: make([]byte, piece)}
-	if _, err = c.br.Peek(1); err == nil {
-		a.hurry(headTime)
-		s.first, err = body.Read(s.buf)
-	}
-	if s.first == 0 {
+	if err = s.open(); err != nil {
 		return a.broken(true, err), nil
 	}
 	return dispatch.Result{}, s
@@ -258,6 +254,27 @@
 	over bool
 }
 
+// open reads the answer up to the end of its first event, which may come in pieces. Until then nothing is passed on: one that breaks off
+// sooner is no answer.
+func (s *stream) open() error {
+	if _, err := s.a.c.br.Peek(1); err != nil {
+		return err
+	}
+	s.a.hurry(headTime)
+	for s.first < len(s.buf) && !hasEvent(s.buf[:s.first]) {
+		n, err := s.body.Read(s.buf[s.first:])
+		s.first += n
+		if err == io.EOF && s.first > 0 { // all that there is
+			s.err = err
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 var errStalled = errors.New("no event for too long")
 
 // Next gives the next bytes as they come. A live stream is never cut: only silence ends it.
--- /dev/null
+++ b/internal/replica/opening_test.go
@@ -0,0 +1,102 @@
+package replica
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"standpulley/internal/dispatch"
+	"standpulley/internal/standin"
+	"standpulley/logic"
+)
+
+// chunked puts text into chunks of so many bytes.
+func chunked(text string, size int) string {
+	var b strings.Builder
+	for len(text) > 0 {
+		n := min(size, len(text))
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", n, text[:n])
+		text = text[n:]
+	}
+	return b.String()
+}
+
+const whole = "data: {\"choices\":[{\"index\":0}]}\n\n"
+
+func TestHasEvent(t *testing.T) {
+	for text, want := range map[string]bool{
+		"":                               false,
+		"data: {}":                       false,
+		"data: {}\n":                     false,
+		"data: {}\n\n":                   true,
+		"data: {}\r\n\r":                 false,
+		"data: {}\r\n\r\n":               true,
+		": a comment\n\n":                false,
+		": a comment\n\ndata: {":         false,
+		": a comment\n\ndata: {}\n\n":    true,
+		"event: x\ndata: {}\n\ndata: {1": true,
+	} {
+		if got := hasEvent([]byte(text)); got != want {
+			t.Errorf("%q: %v", text, got)
+		}
+	}
+}
+
+// Guards: an answer whose connection broke inside its first event counted as begun. The client got a part of an event and the end of its
+// connection instead of an answer, and nobody tried again.
+func TestBreakInsideTheFirstEventIsNoAnswer(t *testing.T) {
+	for _, cut := range []int{1, 6, len(whole) - 1} {
+		for _, size := range []int{1, 7, 1 << 10} {
+			for name, end := range map[string]func(*standin.Exchange){
+				"reset": (*standin.Exchange).Break, "silence": (*standin.Exchange).Gone,
+			} {
+				r := replicaOf(t, func(x *standin.Exchange) {
+					_, _ = io.WriteString(x.Conn, head+"\r\n"+chunked(whole[:cut], size)) // what the other side makes of it is the point
+					end(x)
+				})
+				rep, _ := send(NewPool(4, 0, 0), r.Addr, 5*time.Second, "b")
+				select {
+				case <-rep.began:
+					t.Errorf("%s after %d bytes in chunks of %d: it has begun", name, cut, size)
+				case got := <-rep.ended:
+					if got.Outcome != logic.ConnectionLost || !got.NoState {
+						t.Errorf("%s after %d bytes in chunks of %d: %+v", name, cut, size, got)
+					}
+				case <-time.After(10 * time.Second):
+					t.Fatalf("%s after %d bytes in chunks of %d: the attempt does not end", name, cut, size)
+				}
+			}
+		}
+	}
+}
+
+// An answer in pieces of any size passes unchanged, and its first event does not wait for the second.
+func TestAnswerInPiecesPassesUnchanged(t *testing.T) {
+	for _, size := range []int{1, 7, 1 << 10} {
+		goOn := make(chan bool)
+		r := replicaOf(t, func(x *standin.Exchange) {
+			_, _ = io.WriteString(x.Conn, head+"\r\n"+chunked(whole, size)) // seen by who reads it
+			<-goOn
+			_, _ = io.WriteString(x.Conn, chunked(whole, size)+"0\r\n\r\n")
+		})
+		rep, _ := send(NewPool(4, 0, 0), r.Addr, 5*time.Second, "b")
+		var s dispatch.Stream
+		select {
+		case s = <-rep.began:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the first event does not pass")
+		}
+		text, err := s.Next()
+		got := string(text)
+		close(goOn)
+		for err == nil {
+			text, err = s.Next()
+			got += string(text)
+		}
+		if err != io.EOF || got != whole+whole {
+			t.Errorf("chunks of %d: %v, %q", size, err, got)
+		}
+	}
+}
