Go on releasing until a replica has answered, the holder first, and end only when nothing is held

Releaser.Release (internal/replica/release.go) asked four replicas once, always the same ones, and gave up 4 ms after the request had; the reader that held the state, s-, was up and was not asked. Change: a release asks the reader that holds the state first, then all others in turn, the next after 40 ms without an answer beside the one that hangs, and again from the first, until one has answered or 5 s have passed. The core owns what may be held: after each end of an attempt by which nothing is proven to be gone it is watched, also after a read that broke. The program is idle, and may end, only when the table of requests is empty and the second release of what a broken read left has gone out; before, the core stopped with its alarms. With it, as it is in the same place: a refusal is a failure also for what replicas of one zone or cell alone would throw away, whoever gives the request up (before, for at-most-once alone). TestReleaseTriesOneOfEachZone asks for the whole order now, as the bound of four tries is gone.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -24,8 +24,10 @@
 	sent     int
 	out      map[int]*attempt // by number
 	ran      bool             // an attempt that ended may have run
-	reached  atomic.Int64     // attempts whose last byte was written, but for reads
+	reached  atomic.Int64     // attempts whose last byte was written
+	holder   string           // address of the reader that holds what the last read left, or may; empty: nothing is held
 	loose    bool             // a read ended without a word on what it left behind
+	ranSince time.Time        // when the first attempt that may have run was sent
 }
 
 const (
@@ -62,6 +64,7 @@
 	}
 	r.out = map[int]*attempt{}
 	d.requests[r.id] = r
+	d.Phases.begin() // until it is forgotten: answered, with nothing out and nothing held
 	d.size += r.size
 	r.deadline = r.received.Add(r.ask.Remaining)
 	r.ask.Remaining = max(r.deadline.Sub(d.clock()), 0) // some of it may have gone by on the way here
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -12,9 +13,7 @@
 
 // Written is called by the transport when the attempt's last byte is written.
 func (at *attempt) Written() {
-	if at.role != logic.Reader {
-		at.r.reached.Add(1)
-	}
+	at.r.reached.Add(1)
 	c := at.d.Counts
 	c.mu.Lock()
 	c.written++
@@ -42,8 +41,11 @@
 		}
 		if at.role == logic.Reader {
 			// A read may have ended well just as its connection was closed or broke.
-			r.loose = true
+			r.loose, r.holder = true, at.addr
 		} else {
+			if !r.ran {
+				r.ranSince = at.sentAt
+			}
 			r.ran = true
 		}
 	}
@@ -61,7 +63,13 @@
 		detail = fmt.Sprintf("%d of %d kept", res.Tokens, r.ask.PromptTokens)
 	}
 	d.Counts.note(r, at, out, detail)
-	if out == logic.ReadDone || at.role != logic.Reader && !res.NoState && out != logic.ConnectFailed && out != logic.NotSent && out != logic.Delivered {
+	switch {
+	case out == logic.ReadDone:
+		r.holder = at.addr
+	case at.role != logic.Reader && res.NoState:
+		r.holder = "" // it has come for the state
+	}
+	if r.holder != "" && out != logic.ConnectFailed && out != logic.NotSent {
 		d.watchHeld(r) // also where the writer was silent: it may never have come for the state
 	}
 	if res.Lapsed {
@@ -76,8 +84,8 @@
 // is for the calls.
 const heldPart = 0.5
 
-// watchHeld sees to it that what a read has left is let go in time. An attempt to fetch it that can't connect, as a link is cut, is out
-// here and nowhere else: for the replica that holds the state nobody comes.
+// watchHeld sees to it that what a read has left, or may have, is let go in time after the end of an attempt. A further attempt that
+// can't connect, as a link is cut, is out here and nowhere else: for the replica that holds the state nobody comes.
 func (d *Dispatcher) watchHeld(r *request) {
 	if d.set.ReleaseWithin == 0 {
 		return
@@ -85,7 +93,7 @@
 	before := r.reached.Load()
 	d.after(time.Duration(heldPart*float64(d.set.ReleaseWithin)), func() {
 		if d.requests[r.id] == r && r.reached.Load() == before {
-			d.release(r.id)
+			d.release(r.id, r.holder)
 		}
 	})
 }
@@ -112,21 +120,20 @@
 		d.size -= r.size
 		r.parcel = nil // its timers still know the request for a while, and must not keep its body
 		if r.loose && r.verdict != Served {
-			d.release(r.id)
+			d.release(r.id, r.holder)
 			// The read may end on its replica a moment after the first call has come there.
-			d.after(looseAgain, func() { d.release(r.id) })
+			d.Phases.begin()
+			d.after(looseAgain, func() { d.release(r.id, r.holder); d.Phases.end() })
 		}
+		d.Phases.end()
 	}
 }
 
-const (
-	looseAgain = 150 * time.Millisecond
-	askedMost  = 4 // replicas that a release call may try in turn
-)
+const looseAgain = 150 * time.Millisecond
 
-// release asks a replica to have all let go that is held for a request. Any replica will do, so the ones that
-// are surest to be there come first: in service, and long started.
-func (d *Dispatcher) release(id string) {
+// release has all let go that is held for a request. Any replica will do: first the one that holds it, if that is known, as it is well
+// or nothing is held there any more; then those that are surest to be there, in service and long started.
+func (d *Dispatcher) release(id, holder string) {
 	d.Counts.released()
 	all := make([]*Server, 0, len(d.servers))
 	for _, s := range d.servers {
@@ -142,7 +149,14 @@
 		}
 		return a.ID < b.ID
 	})
-	d.releaser.Release(id, d.oneOfEachZone(all))
+	addrs := d.oneOfEachZone(all)
+	if i := slices.Index(addrs, holder); i >= 0 {
+		addrs = slices.Delete(addrs, i, i+1)
+	}
+	if holder != "" {
+		addrs = slices.Insert(addrs, 0, holder)
+	}
+	d.releaser.Release(id, addrs)
 }
 
 // oneOfEachZone gives the addresses to try in turn: the first of the own zone, the first of each other, then the second ones. A
@@ -160,7 +174,7 @@
 		}
 		return a.Zone == d.set.Zone && b.Zone != d.set.Zone
 	})
-	for _, s := range all[:min(len(all), askedMost)] {
+	for _, s := range all {
 		addrs = append(addrs, s.Addr)
 	}
 	return addrs
--- a/internal/dispatch/release_test.go
+++ b/internal/dispatch/release_test.go
@@ -17,7 +17,7 @@
 		return &Server{Addr: id, ServerEntry: logic.ServerEntry{ID: id, Zone: zone}}
 	}
 	all := []*Server{server("a1", "away"), server("a2", "away"), server("a3", "away"), server("b1", "far"), server("o1", "own"), server("o2", "own")}
-	if got := d.oneOfEachZone(all); !reflect.DeepEqual(got, []string{"o1", "a1", "b1", "o2"}) {
+	if got := d.oneOfEachZone(all); !reflect.DeepEqual(got, []string{"o1", "a1", "b1", "o2", "a2", "a3"}) {
 		t.Errorf("tried %v", got)
 	}
 }
@@ -68,3 +68,88 @@
 		t.Error("nothing was released")
 	}
 }
+
+// Guards: what a read may have left, whose connection broke just as it ended, was let go only with the request. While further attempts
+// can't connect, nobody comes for it.
+func TestWhatABrokenReadLeftIsLetGoInTime(t *testing.T) {
+	d, rel := core(t, 9)
+	now := time.Now()
+	d.clock = func() time.Time { return now }
+	k, p := take(d, "a", "safe")
+	end(d, p, logic.ConnectionLost)
+	if len(p.sent) != 2 {
+		t.Fatalf("%d sends", len(p.sent))
+	}
+	now = now.Add(300 * time.Millisecond) // of the 500 that a state may be held; the second read is connecting all the while
+	d.ring()
+	if len(*rel) == 0 {
+		t.Error("nothing was released")
+	}
+	none(t, k)
+}
+
+// A read that is out at its replica keeps what an earlier one left from being pinned, and is not disturbed.
+func TestReadThatIsOutIsNotReleased(t *testing.T) {
+	d, rel := core(t, 9)
+	now := time.Now()
+	d.clock = func() time.Time { return now }
+	_, p := take(d, "a", "safe")
+	end(d, p, logic.ConnectionLost)
+	p.sent[1].tell.Written()
+	now = now.Add(300 * time.Millisecond)
+	d.ring()
+	if len(*rel) > 0 {
+		t.Errorf("released %v", *rel)
+	}
+}
+
+// Guards: the program ended while what was held had still to be let go: at the end of an attempt whose client had its answer already, and
+// once more a moment after that.
+func TestNothingIsIdleWhileSomethingIsHeld(t *testing.T) {
+	d, rel := core(t, 9)
+	now := time.Now()
+	d.clock = func() time.Time { return now }
+	idle := func() bool { d.Phases.mu.Lock(); defer d.Phases.mu.Unlock(); return d.Phases.open == 0 }
+	k, p := take(d, "a", "safe")
+	k.Leave()
+	drive(d)
+	if a := answerOf(t, k); a.Verdict != Left {
+		t.Fatalf("%v", a.Verdict)
+	}
+	k.Finish()
+	if idle() {
+		t.Error("idle while a read is out")
+	}
+	end(d, p, logic.Cancelled)
+	first := len(*rel)
+	if first == 0 || idle() {
+		t.Errorf("released %d times, idle %v", first, idle())
+	}
+	now = now.Add(looseAgain)
+	d.ring()
+	if len(*rel) == first || !idle() {
+		t.Errorf("released %d times, idle %v", len(*rel), idle())
+	}
+}
+
+// A release asks the reader that holds the state before all others, also when it is no longer listed.
+func TestReleaseAsksTheHolderFirst(t *testing.T) {
+	d, _ := core(t, 9)
+	asked := &askedAt{}
+	d.releaser = asked
+	_, p := take(d, "a", "unsafe")
+	end(d, p, logic.ReadDone)
+	end(d, p, logic.ConnectionLost)
+	if got := asked.addrs; len(got) != 3 || got[0] != "r1" {
+		t.Errorf("asked %v", got)
+	}
+	Update{Full: true, Servers: []Server{{Addr: "w1", ServerEntry: logic.ServerEntry{ID: "w1", Kind: "w", Weight: 1}}}}.apply(d)
+	d.release("b", "r1")
+	if got := asked.addrs; !reflect.DeepEqual(got, []string{"r1", "w1"}) {
+		t.Errorf("asked %v", got)
+	}
+}
+
+type askedAt struct{ addrs []string }
+
+func (a *askedAt) Release(_ string, addrs []string) { a.addrs = addrs }
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -24,6 +24,14 @@
 	d.events = d.events[:0]
 }
 
+// holderOf gives the address at which something may be held for a request that is not forgotten yet.
+func (d *Dispatcher) holderOf(id string) string {
+	if r := d.requests[id]; r != nil {
+		return r.holder
+	}
+	return ""
+}
+
 // refusedAfter is the advice to a refused client where the module gives none: without any it would come at once.
 const refusedAfter = 100 * time.Millisecond
 
@@ -35,7 +43,7 @@
 	case logic.Watch: // discovery is watched all the time
 		return
 	case logic.Release:
-		d.release(a.RequestID)
+		d.release(a.RequestID, d.holderOf(a.RequestID))
 		return
 	}
 	r := d.requests[a.RequestID]
@@ -59,8 +67,7 @@
 }
 
 // answer gives the one final answer; a second one is dropped. A refusal says that trying again is harmless, so
-// where that is not proven the answer is a failure, whatever the module decided. What is out proves nothing yet, not
-// even at a reader.
+// where that is not proven the answer is a failure, whatever the module decided.
 func (d *Dispatcher) answer(r *request, a Answer) {
 	if r.answered {
 		return
@@ -69,7 +76,7 @@
 	if a.Mark == "" {
 		a.Mark = d.mark()
 	}
-	if a.Verdict == Refused && r.class != nil && r.class.Repeat == logic.Unsafe && (a.MayRun || r.away()) {
+	if a.Verdict == Refused && !r.refusable() {
 		a.Verdict = Failed
 	}
 	if a.Verdict == Refused { // a refusal always says when to come back
@@ -80,6 +87,15 @@
 	r.ticket.answer <- a // there is room for the one answer
 }
 
+// refusable tells whether trying again is harmless: the request runs as often as it likes, all replicas throw its repeats away, or it is
+// proven that it has not run. What is out proves nothing yet, not even at a reader.
+func (r *request) refusable() bool {
+	if r.class == nil || r.class.Repeat == logic.Safe || r.class.Repeat == logic.Keyed && r.class.Scope == logic.AllServers {
+		return true
+	}
+	return !r.mayRun() && !r.away()
+}
+
 // mayRun tells whether any attempt has run, or may have, or may yet. The rest of a stream is asked for after one ran.
 func (r *request) mayRun() bool {
 	if r.ask.Resumed {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -12,6 +12,7 @@
 	r       *request
 	n       int
 	server  string
+	addr    string
 	role    logic.Role
 	sentAt  time.Time
 	out     Attempt
@@ -33,6 +34,7 @@
 			Outcome: logic.NotSent, Over: r.answered})
 		return
 	}
+	at.addr = s.Addr
 	for _, k := range d.set.Kinds {
 		if k.Name == s.Kind {
 			at.role = k.Role
--- a/internal/replica/release.go
+++ b/internal/replica/release.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	releaseTry  = 100 * time.Millisecond // a replica that has not answered by then is passed over
-	releaseMost = 64                     // calls under way at once
-	releaseWait = 1024                   // and waiting; beyond that replicas free what they hold by themselves, later
+	releaseTry   = 250 * time.Millisecond // a call without an answer is given up
+	releaseNext  = 40 * time.Millisecond  // and before that the next replica is asked beside it
+	releasePause = 50 * time.Millisecond  // after all of them have been asked
+	releaseFor   = 5 * time.Second        // what is held is long overdue by then
+	releaseMost  = 64                     // requests for which calls are under way at once
+	releaseWait  = 1024                   // and waiting; beyond that replicas free what they hold by themselves, later
 )
 
 // Releaser makes the calls that let go of what replicas hold for a request.
@@ -28,8 +31,12 @@
 	return &Releaser{pool: pool, room: make(chan struct{}, releaseMost)}
 }
 
-// Release asks the replicas in turn until one has answered: each of them can release everything.
+// Release asks the replicas in turn, and again from the first, until one has answered: each of them can release everything. None of
+// them may be up at this moment, and those that hang must not keep the others from being asked in time.
 func (l *Releaser) Release(id string, addrs []string) {
+	if len(addrs) == 0 {
+		return
+	}
 	if l.open.Add(1) > releaseMost+releaseWait {
 		l.open.Add(-1)
 		log.Printf("release %s: too many calls wait", id)
@@ -39,14 +46,51 @@
 		defer l.open.Add(-1)
 		l.room <- struct{}{}
 		defer func() { <-l.room }()
-		for _, addr := range addrs {
+		l.ask(id, addrs)
+	}()
+}
+
+// ask makes the calls for one request.
+func (l *Releaser) ask(id string, addrs []string) {
+	ends := time.After(releaseFor)
+	answers := make(chan error)
+	over := make(chan struct{})
+	defer close(over)
+	for i := 0; ; i++ {
+		addr := addrs[i%len(addrs)]
+		go func() {
 			err := l.call(addr, id)
-			if err == nil {
+			if err != nil {
+				log.Printf("release %s at %s: %v", id, addr, err)
+			}
+			select {
+			case answers <- err:
+			case <-over:
+			}
+		}()
+		whole := (i+1)%len(addrs) == 0
+		next := time.After(releaseNext)
+		if whole {
+			next = time.After(releasePause)
+		}
+	wait:
+		for {
+			select {
+			case err := <-answers:
+				if err == nil {
+					return
+				}
+				if !whole {
+					break wait
+				}
+			case <-next:
+				break wait
+			case <-ends:
+				log.Printf("release %s: no replica has answered", id)
 				return
 			}
-			log.Printf("release %s at %s: %v", id, addr, err)
 		}
-	}()
+	}
 }
 
 // AwaitIdle returns when no call is under way, or when ctx ends.
