Let no repeat leave after its window, and no attempt that was given up meanwhile

Need: the window within which replicas throw a repeat away was held by the module's decision alone; a dial of up to 250 ms, and more where the class's window is short, comes after it. And an attempt whose client left while it connected could write its first byte before the connection was interrupted. Change: the fence before the first byte, which asked for the lease and the withdrawn server, asks for both. An attempt that may not leave is 'not sent'. A lapsed lease is told by an error of its own, as the other reasons are none (TestNoByteWithoutLeave says so for each). Tests: TestRepeatLeavesWithinItsWindow, TestRefusalOfWhatMayHaveRun.

--- /dev/null
+++ b/internal/dispatch/keyed_test.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"standpulley/logic"
+)
+
+// keyedCore has one class whose repeats replicas throw away, within a scope and a window.
+func keyedCore(t *testing.T, scope logic.Scope, window time.Duration) *Dispatcher {
+	t.Helper()
+	d, _ := core(t, 9)
+	set := d.set
+	set.Classes = []logic.Class{{Name: "keyed", Aim: time.Second, Deadline: 3 * time.Second, Repeat: logic.Keyed, Scope: scope, Window: window}}
+	if err := d.router.Retune(set); err != nil {
+		t.Fatal(err)
+	}
+	d.set = set
+	return d
+}
+
+// Guards: a request whose repeats only some replicas throw away was refused after it may have run, where the program or a deadline ended
+// it rather than the module. Its client would have repeated it anywhere.
+func TestRefusalOfWhatMayHaveRun(t *testing.T) {
+	for scope, want := range map[logic.Scope]Verdict{logic.AllServers: Refused, logic.SameZone: Failed, logic.SameCell: Failed} {
+		for name, ran := range map[string]func(*Dispatcher, *parcel){
+			"out":   func(d *Dispatcher, p *parcel) { end(d, p, logic.ReadDone); p.sent[1].tell.Written() },
+			"ended": func(d *Dispatcher, p *parcel) { end(d, p, logic.ReadDone); end(d, p, logic.ServerError) },
+		} {
+			d := keyedCore(t, scope, 5*time.Second)
+			k, p := take(d, "a", "keyed")
+			ran(d, p)
+			d.Vacate()
+			drive(d)
+			if a := answerOf(t, k); a.Verdict != want {
+				t.Errorf("scope %v, %s: %v, want %v", scope, name, a.Verdict, want)
+			}
+		}
+	}
+}
+
+// Guards: the module decides within the window, and connecting takes a part of it. What may have run leaves again only while the window
+// is open; the first time it always may.
+func TestRepeatLeavesWithinItsWindow(t *testing.T) {
+	for _, window := range []time.Duration{time.Hour, 30 * time.Second} {
+		d := keyedCore(t, logic.AllServers, window)
+		_, p := take(d, "a", "keyed")
+		end(d, p, logic.ReadDone)
+		if err := p.sent[1].to.Leave(); err != nil {
+			t.Errorf("the first: %v", err)
+		}
+		end(d, p, logic.ServerError) // it may have run
+		again := p.sent[len(p.sent)-1]
+		if len(p.sent) < 3 || again.to.Leave() != nil {
+			t.Fatalf("%d sends", len(p.sent))
+		}
+		r := d.requests["a"]
+		r.ranSince = r.ranSince.Add(-time.Minute)
+		err := d.leave(r, d.servers["w1"])()
+		if errors.Is(err, ErrClosed) != (window < time.Minute) {
+			t.Errorf("window %v, a minute later: %v", window, err)
+		}
+	}
+}
--- a/internal/dispatch/licence.go
+++ b/internal/dispatch/licence.go
@@ -60,22 +60,34 @@
 	}
 }
 
-// ErrWithdrawn says that a server was drained, taken out or moved after an attempt was routed to it.
-var ErrWithdrawn = errors.New("the server was withdrawn meanwhile")
+// Why an attempt may not leave any more, though it was routed.
+var (
+	ErrLapsed    = errors.New("there is no licence to send")
+	ErrWithdrawn = errors.New("the server was withdrawn meanwhile")
+	ErrClosed    = errors.New("the window for repeats has closed")
+)
 
-// leave is what an attempt at a server asks before its first byte. A lease that was renewed since the attempt was routed goes with a
-// list that may be newer than the one it was routed by; as that list is acted on before the lease is renewed, the lease is asked first.
+// leave is what an attempt at a server asks before its first byte, whatever kind of send it is. A lease that was renewed since the
+// attempt was routed goes with a list that may be newer than the one it was routed by; as that list is acted on before the lease is
+// renewed, the lease is asked first. Where replicas throw repeats away they do so only for a time, which connecting takes from.
 func (d *Dispatcher) leave(r *request, s *Server) func() error {
 	lic, once, again := d.licence, r.class.Repeat == logic.Unsafe, r.ran || len(r.out) > 1 || r.ask.Resumed
+	var closes time.Time
+	if r.ran && r.class.Repeat == logic.Keyed {
+		closes = r.ranSince.Add(r.class.Window)
+	}
 	return func() error {
 		if lic != nil {
 			if err := lic.Send(once, again); err != nil {
-				return err
+				return errors.Join(ErrLapsed, err)
 			}
 		}
 		if s.withdrawn.Load() {
 			return ErrWithdrawn
 		}
+		if !closes.IsZero() && !time.Now().Before(closes) {
+			return ErrClosed
+		}
 		return nil
 	}
 }
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -156,27 +156,34 @@
 	if a.to.Mark != "" {
 		req.Header.Set(headerMark, a.to.Mark)
 	}
-	bw := bufio.NewWriterSize(&fence{a.c, a.to.Leave}, writeBuffer)
+	bw := bufio.NewWriterSize(&fence{Conn: a.c, ctx: a.ctx, leave: a.to.Leave}, writeBuffer)
 	if err := req.Write(bw); err != nil {
 		return err
 	}
 	return bw.Flush()
 }
 
-// fence asks for leave right before the first byte of an attempt leaves.
+// fence stands right before the first byte of an attempt leaves: it asks for leave, and whether the attempt has been given up since.
 type fence struct {
 	net.Conn
-	leave func() error
+	ctx    context.Context
+	leave  func() error
+	passed bool
 }
 
 var errNoLeave = errors.New("no leave to send")
 
 func (f *fence) Write(p []byte) (int, error) {
-	if f.leave != nil {
-		if err := f.leave(); err != nil {
+	if !f.passed {
+		if err := f.ctx.Err(); err != nil {
 			return 0, errors.Join(errNoLeave, err)
 		}
-		f.leave = nil
+		if f.leave != nil {
+			if err := f.leave(); err != nil {
+				return 0, errors.Join(errNoLeave, err)
+			}
+		}
+		f.passed = true
 	}
 	return f.Conn.Write(p)
 }
@@ -193,7 +200,7 @@
 	case a.ctx.Err() != nil || isTimeout(err):
 		as = logic.TimedOut
 	}
-	return dispatch.Result{Outcome: as, Lapsed: errors.Is(err, errNoLeave) && !errors.Is(err, dispatch.ErrWithdrawn), Detail: err.Error()}
+	return dispatch.Result{Outcome: as, Lapsed: errors.Is(err, dispatch.ErrLapsed), Detail: err.Error()}
 }
 
 func isTimeout(err error) bool {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -429,18 +429,18 @@
 func TestNoByteWithoutLeave(t *testing.T) {
 	r := replicaOf(t, func(x *standin.Exchange) { x.Read(1) })
 	pool, asked := NewPool(4, 0, 0), 0
-	for _, err := range []error{nil, errors.New("over"), dispatch.ErrWithdrawn} {
+	for _, err := range []error{nil, errors.Join(dispatch.ErrLapsed, errors.New("over")), dispatch.ErrWithdrawn, dispatch.ErrClosed} {
 		rep := newReport()
 		p := &Parcel{Pool: pool, ID: "id1", Method: "POST", URI: "/", Body: []byte(strings.Repeat("x", 100<<10))}
 		p.Send(dispatch.Target{Server: "s", Addr: r.Addr, Until: time.Now().Add(5 * time.Second), Mark: "3-ab",
 			Leave: func() error { asked++; return err }}, rep)
 		got := rep.result(t)
-		if got.Lapsed != (err != nil && err != dispatch.ErrWithdrawn) || got.Outcome != map[bool]logic.Outcome{true: logic.ReadDone, false: logic.NotSent}[err == nil] {
+		if got.Lapsed != errors.Is(err, dispatch.ErrLapsed) || got.Outcome != map[bool]logic.Outcome{true: logic.ReadDone, false: logic.NotSent}[err == nil] {
 			t.Errorf("leave %v: %+v", err, got)
 		}
 	}
 	calls := r.Calls("")
-	if len(calls) != 1 || calls[0].Header["X-Settings"] != "3-ab" || asked != 3 {
+	if len(calls) != 1 || calls[0].Header["X-Settings"] != "3-ab" || asked != 4 {
 		t.Errorf("%d calls, asked %d times, %v", len(calls), asked, calls[0].Header)
 	}
 }
