Bound every way in which a list may be missed below the 6 s after which a change is told

Change: a watch waits 3 s and is silent after 3.5 to 4.5 s; the pause after a call that was turned away is drawn below 4.5 s and doubles up to that; an agent to which lists are pushed is given up after 0.6 s. After a call that failed, what was missed is asked for in a call that does not wait: a further watch could be silent too. What follows a common loss is drawn for each dispatcher, where they share a service.

--- /dev/null
+++ b/internal/discovery/told_test.go
@@ -0,0 +1,161 @@
+package discovery_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"standpulley/internal/discovery"
+	"standpulley/internal/dispatch"
+	"standpulley/logic"
+)
+
+// scripted is an agent whose calls the test answers itself, one by one.
+type scripted struct {
+	addr  string
+	calls chan call
+}
+
+type call struct {
+	query string
+	conn  net.Conn
+}
+
+func script(t *testing.T) *scripted {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	s := &scripted{ln.Addr().String(), make(chan call, 64)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				br := bufio.NewReader(c)
+				for {
+					var q fasthttp.Request
+					if q.Read(br) != nil {
+						return
+					}
+					s.calls <- call{string(q.URI().QueryString()), c}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+// next waits for a call.
+func (s *scripted) next(t *testing.T) call {
+	t.Helper()
+	select {
+	case c := <-s.calls:
+		return c
+	case <-time.After(20 * time.Second):
+		t.Fatal("no call comes")
+		return call{}
+	}
+}
+
+func (c call) answer(version int, state string) {
+	text := fmt.Sprintf(`{"version":%d,"full":true,"servers":[{"id":"s","addr":"127.0.0.1:1","kind":"k","state":%q}]}`, version, state)
+	c.say("200 OK", text)
+}
+
+func (c call) say(status, text string) {
+	_, _ = fmt.Fprintf(c.conn, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text) // one that has hung up hears nothing
+}
+
+func watch(t *testing.T, w *discovery.Watcher) chan dispatch.Update {
+	t.Helper()
+	told := make(chan dispatch.Update, 8)
+	w.Kinds, w.Tell = []logic.Kind{{Name: "k"}}, func(u dispatch.Update) { told <- u }
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { w.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return told
+}
+
+const (
+	countsAsTold = 6 * time.Second // after discovery had a change and could be reached
+	graceOfDrain = time.Second     // and for a drain as much longer
+)
+
+// Guards: a watch that falls silent, right after it was opened, told of nothing for 11.5 s, and a drain that it missed was broken. What it
+// missed is asked for in a call that does not wait, as a further watch could be silent too.
+func TestSilentWatchIsAskedInTime(t *testing.T) {
+	t.Parallel()
+	for _, pushed := range []bool{true, false} {
+		s := script(t)
+		told := watch(t, &discovery.Watcher{Addr: s.addr, Siblings: 300, Pushed: pushed})
+		s.next(t).answer(1, "in_service")
+		<-told
+		if q := s.next(t).query; !strings.HasPrefix(q, "index=1&wait=") { // and nothing more is said on it
+			t.Fatalf("asked %q", q)
+		}
+		silent := time.Now()
+		again := s.next(t)
+		if again.query != "index=1&wait=0" {
+			t.Errorf("after the silence: asked %q", again.query)
+		}
+		again.answer(2, "terminating")
+		if u := <-told; u.Servers[0].Availability != logic.Draining {
+			t.Errorf("told %+v", u)
+		}
+		if took := time.Since(silent); took > countsAsTold {
+			t.Errorf("pushed %v: told %v after the watch fell silent", pushed, took)
+		}
+		if q := s.next(t).query; !strings.HasPrefix(q, "index=2&wait=") || q == "index=2&wait=0" {
+			t.Errorf("after it was told: asked %q", q)
+		}
+	}
+}
+
+// Guards: where lists are pushed, what the agent gets when discovery returns counts as told in that moment, and calls that it left without
+// an answer were waited for up to 4 s. It is asked so often that a drain is kept.
+func TestReturnOfAPushedAgentIsFound(t *testing.T) {
+	t.Parallel()
+	s := script(t)
+	told := watch(t, &discovery.Watcher{Addr: s.addr, Siblings: 300, Pushed: true})
+	s.next(t).answer(1, "in_service")
+	<-told
+	for range 4 { // the watch, and three calls that ask what it missed
+		s.next(t)
+	}
+	returned := time.Now()
+	s.next(t).answer(2, "terminating")
+	<-told
+	if took := time.Since(returned); took > graceOfDrain {
+		t.Errorf("told %v after the agent came back", took)
+	}
+}
+
+// Guards: the pause after a call that was turned away grew to 8 s, and to 30 s where there were many dispatchers. Together with the call
+// before it, whatever became of that, it is under the time after which a change counts as told; it is drawn, so that those who were
+// turned away together don't come back together.
+func TestTurnedAwayIsAskedAgainInTime(t *testing.T) {
+	t.Parallel()
+	s := script(t)
+	watch(t, &discovery.Watcher{Addr: s.addr, Siblings: 300})
+	first := s.next(t)
+	for range 2 {
+		first.say("503 Service Unavailable", "")
+		away := time.Now()
+		first = s.next(t)
+		if took := time.Since(away); took > countsAsTold-graceOfDrain {
+			t.Errorf("asked again after %v", took)
+		}
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -17,29 +17,38 @@
 	"standpulley/logic"
 )
 
+// What discovery has counts as told 6 s after it had it and could be reached, whatever calls failed, were refused or were given up
+// before (the standing test's page), and a drain that is told of has a second more. So each way in which the list may be missed is
+// bounded below that, from the moment at which discovery answers again to the next call that it answers:
+//
+//	a watch that has fallen silent   watchWait + silentMost
+//	a call that is not answered      dialLimit + replyLimit + brokenPause
+//	a call that is turned away       pauseMost
+//
+// All dispatchers may lose discovery at one moment; where they share a service, what follows is drawn for each.
 const (
-	watchWait  = 10 * time.Second // what comes later than 2 s after a wait's end counts as told: stay well inside
-	replyLimit = 4 * time.Second  // for a call that does not wait
-	// A watch that has fallen silent counts as told 2 s after its wait is over, and a drain that it missed has a second more: the
-	// list must be there by then. All watches may fall silent at once, so each draws its time.
-	silentLeast = 500 * time.Millisecond
+	watchWait   = 3 * time.Second
+	silentLeast = 500 * time.Millisecond // after the wait's end a watch without an answer is broken: from this ...
 	silentMost  = 1500 * time.Millisecond
-	dialLimit   = 250 * time.Millisecond
-	maxList     = 4 << 20
+	replyLimit  = 4 * time.Second // for a call that does not wait, at a service whose callers wait in turn
+	// Where lists are pushed the agent answers at once, and what it gets when discovery returns is told in that moment.
+	agentLimit = 600 * time.Millisecond
+	dialLimit  = 250 * time.Millisecond
+	maxList    = 4 << 20
 
-	brokenPause = 50 * time.Millisecond  // after a broken connection: a watch goes on only if the next call comes within 200 ms
-	turnedAway  = 100 * time.Millisecond // for each dispatcher that asks the same service, after it turned a call away
-	pauseUsual  = 8 * time.Second        // to this the pause doubles: who asks seldomer counts as told (ask_every_us: 10 s)
-	pauseMost   = 30 * time.Second       // after a call that failed, only after four times that
+	brokenPause = 50 * time.Millisecond   // after a broken connection: a watch goes on only if the next call comes within 200 ms
+	turnedAway  = 100 * time.Millisecond  // for each dispatcher that asks the same service, after it turned a call away
+	pauseMost   = 4500 * time.Millisecond // to this the pause doubles
 )
 
 // Watcher follows the agent at Addr and hands each list to Tell. Behind the agents of all dispatchers stands one service:
 // where it turns a call away or answers what can't be used, the next comes after a pause drawn from a time that grows with
-// their number, Siblings (0 counts as 1), and doubles up to pauseUsual. Asked again at once by all, it would never have time
+// their number, Siblings (0 counts as 1), and doubles up to pauseMost. Asked again at once by all, it would never have time
 // to answer any.
 type Watcher struct {
 	Addr     string
 	Siblings int
+	Pushed   bool         // lists are pushed to the agent, which answers by itself
 	Kinds    []logic.Kind // those that lists may name
 	Tell     func(dispatch.Update)
 	Heard    func(bool) // after each call, whether it was answered; may be nil
@@ -54,16 +63,21 @@
 // errAnswer tells that the agent can be reached, but its answer is of no use.
 var errAnswer = errors.New("no list")
 
-// Run watches until ctx ends. It begins with the whole list, as what is known may be old.
+// Run watches until ctx ends. It begins with the whole list, as what is known may be old. After a call that failed it asks for what
+// it missed before it waits again: a call that waits would tell only by the end of its wait that nobody hears it.
 func (w *Watcher) Run(ctx context.Context) {
 	defer w.hangUp()
 	stop := context.AfterFunc(ctx, w.hangUp)
 	defer stop()
-	whole, away := true, 0
+	whole, missed, away := true, true, 0
 	for ctx.Err() == nil {
-		path, limit := "/api/targets", replyLimit
-		if !whole {
-			path = fmt.Sprintf("/api/targets?index=%d&wait=%d", w.index, watchWait.Milliseconds())
+		path, limit := "/api/targets", w.replyLimit()
+		switch {
+		case whole:
+		case missed:
+			path += fmt.Sprintf("?index=%d&wait=0", w.index)
+		default:
+			path += fmt.Sprintf("?index=%d&wait=%d", w.index, watchWait.Milliseconds())
 			limit = w.silence()
 		}
 		list, err := w.call(path, limit)
@@ -80,6 +94,7 @@
 				wait = w.spread(away)
 				away++
 			}
+			missed = true
 			pause(ctx, wait)
 			continue
 		}
@@ -87,10 +102,18 @@
 		if list.Full || len(list.Servers) > 0 {
 			w.Tell(list.Update())
 		}
-		w.index, whole = list.Version, false
+		w.index, whole, missed = list.Version, false, false
 	}
 }
 
+// replyLimit is how long a call that does not wait may take.
+func (w *Watcher) replyLimit() time.Duration {
+	if w.Pushed {
+		return agentLimit
+	}
+	return replyLimit
+}
+
 // silence draws how long a watch may take before it counts as silent.
 func (w *Watcher) silence() time.Duration {
 	return watchWait + silentLeast + rand.N(silentMost-silentLeast)
@@ -99,8 +122,7 @@
 // spread draws the pause after a call that was turned away, as were so many before it in a row: from half of the time to
 // all of it.
 func (w *Watcher) spread(before int) time.Duration {
-	first := min(turnedAway*time.Duration(max(w.Siblings, 1)), pauseMost)
-	most := min(first<<min(before, 10), max(first, pauseUsual))
+	most := min(turnedAway*time.Duration(max(w.Siblings, 1))<<min(before, 10), pauseMost)
 	return most/2 + rand.N(most/2)
 }
 
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -148,7 +148,7 @@
 		return
 	}
 	time.AfterFunc(handOver, before)
-	w := &discovery.Watcher{Addr: cfg.Discovery, Siblings: cfg.Settings.Siblings, Kinds: cfg.Settings.Kinds, Tell: tell}
+	w := &discovery.Watcher{Addr: cfg.Discovery, Siblings: cfg.Settings.Siblings, Pushed: !cfg.Settings.ListOnRequest, Kinds: cfg.Settings.Kinds, Tell: tell}
 	if s.lists != nil {
 		w.Heard = s.lists.heard
 	}
