Notice clients that leave whatever they sent before, and never reset an answer that was just written

Found by reading internal/front/conn.go: the watch stopped at the first byte of a further request, so a client that sent one and closed was served to the end; a client that had closed before its request was read was sent on before the watch saw it; answers after which the connection ends were followed by a reset where bytes behind the request were unread, unless the request was unreadable; fasthttp holds an answer back while the next request has come and is being served. Change: the watch reads on behind the request, 16 KiB at most, and looks once before the request is taken. Every end of a connection whose request has begun to come is a lingering close; the flag for unreadable ones is gone. fasthttp flushes each answer (ReduceMemoryUsage). A request that comes just as the time of an idle connection is over is read, rather than closed upon. Where places run out, a connection whose request has begun to come is closed only after those that rest. Tests, each seen to fail on the files before: TestClientLeavesBehindItsNextRequest, TestClientThatHasLeftIsNotServed (2 attempts), TestAnswerIsNotHeldBackForTheNextRequest (2 s), TestLastAnswerIsNotReset (connection reset by peer).

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -7,8 +7,10 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -19,14 +21,12 @@
 // Conn is a client's connection. fasthttp does not notice a client that leaves while a handler runs; Watch does.
 type Conn struct {
 	net.Conn
-	ahead    [1]byte // a byte that the watch has read
-	hasAhead bool
-	unread   bool // more may come that nobody reads
+	ahead []byte // what came behind the request that is being answered, and was read while its client was watched
 
 	gate  *Gate
 	place *list.Element // among the waiting, guarded by the gate
 	since time.Time     // it has been among them since, guarded by the gate
-	began bool          // a request has begun to come meanwhile, guarded by the gate
+	began bool          // a request has begun to come since the last answer, guarded by the gate
 	gone  bool          // guarded by the gate
 
 	coming *list.Element // among those that read a body, guarded by the gate
@@ -36,12 +36,17 @@
 const (
 	lingerTime = time.Second
 	lingerMost = 4 << 20
+	// So much of what a client sends behind its request is read to find out whether it leaves. One that sends more at once is seen to
+	// leave when it is written to.
+	aheadMost = 16 << 10
+	aheadStep = 512
 )
 
-// Close ends the connection.
+// Close ends the connection. What was just answered has to reach the client, so it is told of the end first, and what it still sends is
+// read: closing over unread bytes would reset the connection, and the answer might go with it.
 func (c *Conn) Close() error {
-	if c.unread {
-		c.rest(true) // it has its answer: it may be closed sooner where its place is wanted
+	if c.mayBeAnswered() {
+		c.rest(true) // it may be closed sooner where its place is wanted
 		linger(c.Conn)
 	}
 	c.gate.mu.Lock()
@@ -50,8 +55,7 @@
 	return nil
 }
 
-// linger reads for a while what nobody wants. Closing over bytes that were not read would reset the connection, and
-// the client might never see why its request was turned away.
+// linger reads for a while what nobody wants.
 func linger(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.CloseWrite() // if it fails, so does the read
@@ -60,13 +64,68 @@
 	}
 }
 
-// Read gives back first what a watch has read.
+// Read gives back first what a watch has read. Where the time for a request to come is over just as it comes, it has come.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.hasAhead && len(p) > 0 {
-		p[0], c.hasAhead = c.ahead[0], false
-		return 1, nil
+	if len(c.ahead) > 0 && len(p) > 0 {
+		n := copy(p, c.ahead)
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
+		return n, nil
+	}
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if n, end := c.arrived(p); n > 0 || end {
+			return n, endOf(n)
+		}
+	}
+	return n, err
+}
+
+func endOf(n int) error {
+	if n > 0 {
+		return nil
 	}
-	return c.Conn.Read(p)
+	return io.EOF
+}
+
+// arrived reads what has come already, without waiting. It tells whether the client has ended the connection.
+func (c *Conn) arrived(p []byte) (n int, end bool) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, true
+	}
+	_ = raw.Control(func(fd uintptr) {
+		var err error
+		n, _, err = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
+		end = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return max(n, 0), end
+}
+
+// Left tells whether the client has ended the connection, whatever it sent before that. Nothing else may read meanwhile.
+func (c *Conn) Left() bool {
+	for len(c.ahead) < aheadMost {
+		room := c.room()
+		n, end := c.arrived(room)
+		c.ahead = c.ahead[:len(c.ahead)+n]
+		if end || n < len(room) {
+			return end
+		}
+	}
+	return false
+}
+
+// room gives space behind what was read ahead.
+func (c *Conn) room() []byte {
+	if cap(c.ahead) == len(c.ahead) {
+		c.ahead = slices.Grow(c.ahead, max(len(c.ahead), aheadStep))
+	}
+	return c.ahead[len(c.ahead):min(cap(c.ahead), aheadMost)]
 }
 
 // Write gives each write a time of its own: a stream may go on for long, but a client that takes nothing has gone.
@@ -80,22 +139,24 @@
 // Watch calls gone once if the client ends the connection before stop is called. Nothing else may read the
 // connection in between. After stop has returned, gone is not called any more.
 func (c *Conn) Watch(gone func()) (stop func()) {
-	if c.hasAhead {
-		return func() {}
-	}
 	done := make(chan struct{})
 	var mu sync.Mutex
 	stopped := false
 	_ = c.Conn.SetReadDeadline(time.Time{}) // the server's, for the request that has been read
 	go func() {
 		defer close(done)
-		n, err := c.Conn.Read(c.ahead[:])
-		mu.Lock()
-		defer mu.Unlock()
-		if n == 1 {
-			c.hasAhead = true // the next request, early; the client is there
-		} else if err != nil && !stopped {
-			gone()
+		for len(c.ahead) < aheadMost {
+			n, err := c.Conn.Read(c.room())
+			c.ahead = c.ahead[:len(c.ahead)+n]
+			mu.Lock()
+			if err != nil && !stopped {
+				gone()
+			}
+			over := err != nil || stopped
+			mu.Unlock()
+			if over {
+				return
+			}
 		}
 	}()
 	var once sync.Once
@@ -225,7 +286,6 @@
 func NewServer(core *dispatch.Dispatcher, handler Handler, refuse func(ctx *fasthttp.RequestCtx, status int, text string),
 	maxBody int) *fasthttp.Server {
 	unreadable := func(ctx *fasthttp.RequestCtx, err error) {
-		ctx.Conn().(*Conn).unread = true
 		var small *fasthttp.ErrSmallBuffer
 		var late net.Error
 		switch {
@@ -253,7 +313,7 @@
 				ctx.SetConnectionClose()
 				return
 			}
-			if !c.busy() {
+			if !c.busy() || c.Left() {
 				ctx.SetConnectionClose() // nobody hears it
 				return
 			}
@@ -268,7 +328,8 @@
 			}
 		},
 		Concurrency: maxConns, StreamRequestBody: true, MaxRequestBodySize: bodyAhead, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		ReduceMemoryUsage: true, // also: no answer waits for the request behind it
+		IdleTimeout:       idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, Logger: Quiet{}, CloseOnShutdown: true, ReadBufferSize: 8 << 10, WriteBufferSize: 4 << 10,
 		ErrorHandler: unreadable,
 	}
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -48,7 +48,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for g.open >= g.most && g.waiting.Len() > 0 {
-		g.leave(g.waiting.Front().Value.(*Conn))
+		g.leave(g.idlest())
 	}
 	if g.open < g.most {
 		g.open++
@@ -71,6 +71,17 @@
 	return nil
 }
 
+// idlest gives the connection that has waited the longest, one whose request has begun to come only if there is no other. The gate is
+// locked, and some wait.
+func (g *Gate) idlest() *Conn {
+	for e := g.waiting.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*Conn); !c.began {
+			return c
+		}
+	}
+	return g.waiting.Front().Value.(*Conn)
+}
+
 // leave closes a connection and gives its place free. The gate is locked.
 func (g *Gate) leave(c *Conn) {
 	if c.gone {
@@ -153,6 +164,13 @@
 	return !c.gone
 }
 
+// mayBeAnswered tells whether a request has begun to come, so that an answer may be the last thing that was said.
+func (c *Conn) mayBeAnswered() bool {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	return !c.gone && c.began
+}
+
 // rest puts it back as the one that has waited the least; began tells that a request has begun to come.
 func (c *Conn) rest(began bool) {
 	g := c.gate
--- /dev/null
+++ b/internal/front/platform/leaving_test.go
@@ -0,0 +1,117 @@
+package platform
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"standpulley/internal/dispatch"
+	"standpulley/internal/front"
+	"standpulley/internal/fronttest"
+	"standpulley/internal/standin"
+)
+
+// ends are the ways in which a client ends its connection.
+var ends = map[string]func(net.Conn){
+	"close":      func(c net.Conn) { _ = c.Close() },
+	"half close": func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() },
+	"reset":      func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() },
+}
+
+// Guards: with a byte of its next request already there, a client that left was not noticed until its request's end, and attempts went on.
+// It leaves while it waits for its first attempt's answer, behind the first byte of a further request or the whole of it.
+func TestClientLeavesBehindItsNextRequest(t *testing.T) {
+	for name, end := range ends {
+		for _, behind := range []string{"", "P", raw("enquiry", "3000m"), strings.Repeat(raw("enquiry", "3000m"), 8)} {
+			rig, addr := start(t, func(x *standin.Exchange) { x.Gone() }, serve)
+			c := send(t, addr, raw("enquiry", "3000m"))
+			fronttest.Wait(t, "the send to the reader", func() bool { return len(rig.Reader.Calls("POST")) == 1 })
+			if _, err := io.WriteString(c, behind); err != nil {
+				t.Fatal(err)
+			}
+			end(c)
+			fronttest.Wait(t, name+" is noticed", func() bool { return rig.Verdicts(dispatch.Left) == 1 })
+			fronttest.Wait(t, "the release", func() bool {
+				return len(rig.Reader.Calls("DELETE"))+len(rig.Writers[0].Calls("DELETE")) > 0
+			})
+			if n := rig.Runs(); n != 0 {
+				t.Errorf("%s behind %d bytes: %d sends to the writer", name, len(behind), n)
+			}
+		}
+	}
+}
+
+// Guards: a client that had gone before its request was read was served all the same: its request went out before the watch saw the end.
+// The whole request and the end are there before anything accepts the connection.
+func TestClientThatHasLeftIsNotServed(t *testing.T) {
+	for name, end := range ends {
+		rig := fronttest.Start(t, fronttest.Read, serve)
+		port, err := front.Listen("127.0.0.1:0", front.NewGate(fronttest.GateMost, fronttest.GateBytes), false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 10 {
+			end(send(t, port.Addr(), raw("instruction", "3000m")))
+			end(send(t, port.Addr(), raw("enquiry", "3000m")+raw("enquiry", "3000m")))
+		}
+		last := send(t, port.Addr(), raw("enquiry", "3000m"))
+		server := New(rig.Core, rig.Pool, fronttest.Settings(), nil).Server()
+		ln := port.Attach()
+		go func() { _ = server.Serve(ln) }() // ends with the port
+		t.Cleanup(func() { port.Finish(0) })
+		if resp, _, whole := answer(t, last); resp.StatusCode != 200 || !whole {
+			t.Errorf("the one that stays: %d", resp.StatusCode)
+		}
+		port.Finish(0)
+		if err := server.Shutdown(); err != nil { // returns when all were dealt with
+			t.Fatal(err)
+		}
+		if n := len(rig.Reader.Calls("POST")); n != 1 {
+			t.Errorf("%s: %d attempts, want the one of who stays", name, n)
+		}
+	}
+}
+
+// Guards: the answer to a request was held back while the next one, which had come with it, was served. Only the first is answered until
+// the writer goes on.
+func TestAnswerIsNotHeldBackForTheNextRequest(t *testing.T) {
+	goOn := make(chan bool)
+	_, addr := start(t, fronttest.Read, func(x *standin.Exchange) { <-goOn; serve(x) })
+	c := send(t, addr, "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"+raw("enquiry", "3000m"))
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second)) // of the 3 that the second may take
+	br := bufio.NewReader(c)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("the first answer: %v %v", resp, err)
+	}
+	close(goOn)
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if resp, err = http.ReadResponse(br, nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("the second: %v %v", resp, err)
+	}
+}
+
+// Guards: an answer after which the connection ends was followed by a reset where bytes behind the request had not been read, and the
+// answer went with it. A reset would show as an error at the answer's end.
+func TestLastAnswerIsNotReset(t *testing.T) {
+	rig, addr := start(t, func(x *standin.Exchange) { x.Status(500, false, "") }, serve)
+	if err := rig.Core.Phases.Enter(dispatch.Leaving); err != nil { // so that each answer is the last one
+		t.Fatal(err)
+	}
+	for _, first := range []string{raw("enquiry", "3000m"), strings.Replace(raw("enquiry", "3000m"), "X-Qos: enquiry", "X-Qos: none", 1),
+		strings.Replace(raw("enquiry", "3000m"), "X-Qos", "Transfer-Encoding: chunked\r\nX-Qos", 1)} {
+		for range 10 {
+			c := send(t, addr, first+strings.Repeat("more than is read ", 4<<10))
+			time.Sleep(time.Millisecond) // any order of reading and closing must do
+			_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			text, err := io.ReadAll(c)
+			if err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 ") {
+				t.Fatalf("after %.20q: %v", text, err)
+			}
+		}
+	}
+}
