Be ready only where somebody could be served, and rest connections before they are used again

Need: a restarted dispatcher must not answer ready while it could serve nobody; a replica may say a second answer some milliseconds late on a connection that is kept. Found by reading: Phases.Welcome asked for the phase alone, so a program without any replica in its list was ready after 0.5 s; Pool.put gave a connection to the next request at once, and what came late on it was taken for that request's answer. Change: the core knows whether the replicas in service could serve a request between them (one that does it whole, or a reader and a writer), and readiness asks for it, at the front and at the operators' door. A connection rests 30 ms before it is used again; by then what came shows, and it is dropped as before. Tests: TestReadyOnlyWhereSomebodyCouldBeServed, TestSecondAnswerIsNotTakenForTheNext. TestReadyTellsThePhase had a rig without a writer, which could serve nobody; it has one now. TestConnectionsAreUsedAgainAndRetired rests its connections.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -168,6 +168,7 @@
 	err := d.router.Retune(q.set)
 	if err == nil {
 		d.set, d.bounds = q.set, q.bounds.under(q.set)
+		d.Phases.setAble(d.able())
 		if q.licence != nil {
 			d.Under(q.licence)
 			d.strictly()
@@ -244,9 +245,34 @@
 			}
 		}
 	}
+	d.Phases.setAble(d.able())
 	d.route(ev)
 }
 
+// able tells whether the replicas in service could serve a request between them: one that does it whole, or a reader and a writer.
+func (d *Dispatcher) able() bool {
+	var reads, writes bool
+	for _, s := range d.servers {
+		if s.Availability != logic.Ready {
+			continue
+		}
+		role := d.roleOf(s)
+		reads = reads || role != logic.Writer || d.set.ReadInPlace
+		writes = writes || role != logic.Reader
+	}
+	return reads && writes
+}
+
+// roleOf finds a server's role by its kind.
+func (d *Dispatcher) roleOf(s *Server) (role logic.Role) {
+	for _, k := range d.set.Kinds {
+		if k.Name == s.Kind {
+			role = k.Role
+		}
+	}
+	return role
+}
+
 // alarm is a time at which something is to be done on the core's goroutine.
 type alarm struct {
 	at time.Time
--- a/internal/dispatch/phase.go
+++ b/internal/dispatch/phase.go
@@ -28,6 +28,7 @@
 	open int
 	away bool        // clients are sent away for a while: an operator empties the program
 	may  func() bool // leave to serve, where dispatchers agree on settings
+	able bool        // replicas are known that could serve a request between them
 	idle *sync.Cond
 }
 
@@ -69,11 +70,24 @@
 	p.mu.Unlock()
 }
 
-// Welcome tells whether clients may come.
+// Able tells whether replicas are known that could serve a request between them.
+func (p *Phases) Able() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.able
+}
+
+func (p *Phases) setAble(able bool) {
+	p.mu.Lock()
+	p.able = able
+	p.mu.Unlock()
+}
+
+// Welcome tells whether clients may come: not to a program that could serve none of them.
 func (p *Phases) Welcome() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.now == Ready && !p.away && (p.may == nil || p.may())
+	return p.now == Ready && p.able && !p.away && (p.may == nil || p.may())
 }
 
 // Keep tells whether clients may keep their connections after an answer.
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -34,12 +34,7 @@
 			Outcome: logic.NotSent, Over: r.answered})
 		return
 	}
-	at.addr = s.Addr
-	for _, k := range d.set.Kinds {
-		if k.Name == s.Kind {
-			at.role = k.Role
-		}
-	}
+	at.addr, at.role = s.Addr, d.roleOf(s)
 	until := r.deadline
 	if t := time.Unix(0, int64(a.Until)); a.Until > 0 && t.Before(until) {
 		until = t
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -40,7 +40,11 @@
 
 // Ready answers whether the program takes requests: 200, or 503 with its phase.
 func Ready(ctx *fasthttp.RequestCtx, core *dispatch.Dispatcher) {
-	if !core.Phases.Welcome() {
+	switch {
+	case core.Phases.Welcome():
+	case !core.Phases.Able():
+		ctx.Error("not now: no replicas are known that could serve", fasthttp.StatusServiceUnavailable)
+	default:
 		ctx.Error("not now: "+core.Phases.Now().String(), fasthttp.StatusServiceUnavailable)
 	}
 }
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -201,7 +202,7 @@
 }
 
 func TestReadyTellsThePhase(t *testing.T) {
-	rig, addr := start(t, fronttest.Read)
+	rig, addr := start(t, fronttest.Read, serve)
 	get := "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
 	if resp, _, _ := answer(t, send(t, addr, get)); resp.StatusCode != 200 {
 		t.Errorf("ready: %d", resp.StatusCode)
@@ -222,3 +223,26 @@
 		t.Error("a phase was entered twice")
 	}
 }
+
+// Guards: a program that knew no replicas answered that it was ready, and turned away all that came.
+func TestReadyOnlyWhereSomebodyCouldBeServed(t *testing.T) {
+	get := "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+	rig, addr := start(t, fronttest.Read, serve)
+	list := rig.Core.List()
+	for _, c := range []struct {
+		listed []string
+		want   int
+	}{{nil, 503}, {[]string{"r"}, 503}, {[]string{"a"}, 503}, {[]string{"r", "a"}, 200}} {
+		u := dispatch.Update{Full: true}
+		for _, s := range list.Servers {
+			if slices.Contains(c.listed, s.ID) {
+				u.Servers = append(u.Servers, s)
+			}
+		}
+		rig.Core.Tell(u)
+		rig.Core.List() // the one before has been taken up
+		if resp, _, _ := answer(t, send(t, addr, get)); resp.StatusCode != c.want {
+			t.Errorf("with %v: %d, want %d", c.listed, resp.StatusCode, c.want)
+		}
+	}
+}
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -47,7 +47,7 @@
 // Ready tells operators whether the program can serve, also while it sends clients away.
 func (p *program) Ready() bool {
 	s := p.live.Load()
-	return s != nil && s.core.Phases.Now() == dispatch.Ready
+	return s != nil && s.core.Phases.Now() == dispatch.Ready && s.core.Phases.Able()
 }
 
 // Drain sends clients away: the front is told that this program is not ready, each answer is the last on its
--- a/internal/replica/opening_test.go
+++ b/internal/replica/opening_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"strings"
@@ -100,3 +101,32 @@
 		}
 	}
 }
+
+// Guards: a replica that says a second answer, some milliseconds after the first, said it to the next request on that connection. The
+// next one goes out on another until the connection has rested, and by then what came shows.
+func TestSecondAnswerIsNotTakenForTheNext(t *testing.T) {
+	r := replicaOf(t, func(x *standin.Exchange) { x.Read(1) })
+	pool := NewPool(4, 0, 0)
+	c, err := pool.get(context.Background(), r.Addr, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool.put(c)
+	c.idledAt = time.Now().Add(time.Hour) // however long this test takes, it has not rested
+	other, err := pool.get(context.Background(), r.Addr, false)
+	if err != nil || other == c {
+		t.Fatalf("%v, the same connection: %v", err, other == c)
+	}
+	pool.drop(other)
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil { // whose answer stands for the second one
+		t.Fatal(err)
+	}
+	for quiet(c.Conn) { // until it is there
+		time.Sleep(time.Millisecond)
+	}
+	c.idledAt = time.Now().Add(-restLeast)
+	other, err = pool.get(context.Background(), r.Addr, false)
+	if err != nil || other == c || pool.open != 1 {
+		t.Errorf("%v, the same connection: %v, %d open", err, other == c, pool.open)
+	}
+}
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -36,9 +36,12 @@
 }
 
 const (
-	retireAt    = 0.8                  // part of the replica's idle time after which we close first
-	idleAtMost  = 8                    // connections to a replica that idle at once: each takes a place there too
-	settle      = 2 * time.Millisecond // some round trips
+	retireAt   = 0.8                  // part of the replica's idle time after which we close first
+	idleAtMost = 8                    // connections to a replica that idle at once: each takes a place there too
+	settle     = 2 * time.Millisecond // some round trips
+	// A replica may say a further answer some milliseconds after the one that was read. It must be seen before the next request is sent,
+	// whose answer it would be taken for.
+	restLeast   = 30 * time.Millisecond
 	readBuffer  = 8 << 10
 	writeBuffer = 16 << 10
 )
@@ -96,18 +99,19 @@
 	}
 }
 
-// takeIdle gives the idle connection that was used last, if there is one, and tells whether the replica keeps it.
+// takeIdle gives the idle connection that was used last, of those that have rested, if there is one, and tells whether the replica keeps
+// it.
 func (p *Pool) takeIdle(addr string) (c *conn, fresh bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := p.idle[addr]
-	if len(all) == 0 {
-		return nil, false
+	for i, c := range slices.Backward(all) {
+		if rested := time.Since(c.idledAt); rested >= restLeast {
+			p.idle[addr] = slices.Delete(all, i, i+1)
+			return c, rested < p.idleMost
+		}
 	}
-	c = all[len(all)-1]
-	all[len(all)-1] = nil
-	p.idle[addr] = all[:len(all)-1]
-	return c, time.Since(c.idledAt) < p.idleMost
+	return nil, false
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -291,13 +291,14 @@
 	}
 }
 
-// Guards: connections are used again, but not when they have been idle for nearly as long as the replica allows.
+// Guards: connections are used again once they have rested, but not when they have been idle for nearly as long as the replica allows.
 func TestConnectionsAreUsedAgainAndRetired(t *testing.T) {
 	r := replicaOf(t, func(x *standin.Exchange) { x.Read(0) })
 	pool := NewPool(4, 100*time.Second, 0)
 	for range 3 {
 		rep, _ := send(pool, r.Addr, time.Second, "b")
 		rep.result(t)
+		pool.idle[r.Addr][0].idledAt = time.Now().Add(-restLeast)
 	}
 	if pool.open != 1 {
 		t.Errorf("%d connections for requests in turn", pool.open)
