--- /dev/null
+++ b/cmd/standpulley/customers_test.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"standpulley/internal/standin"
+)
+
+// customer is a site's settings, of which the program knows nothing but the form.
+func customer(zone, kinds, duties string, classes []string, tenants string) string {
+	var services []string
+	for i, c := range classes {
+		repeat := []string{`"idempotent"`, `"at_most_once"`, `"deduplicated","key_scope":"all","window_us":2000000`,
+			`"deduplicated","key_scope":"zone","window_us":1500000`, `"deduplicated","key_scope":"cell","window_us":900000`}[i%5]
+		services = append(services, fmt.Sprintf(`{"name":%q,"goal_time_us":%d,"deadline_us":%d,"repeat":%s,"credit":%d}`,
+			c, 700000+i*100000, 5000000+i*500000, repeat, i+1))
+	}
+	return fmt.Sprintf(`{"siblings":3,%s"host_types":%s,"family_info":{"duty_by_kind":%s,"kv_tokens":[100000],"let_go_by_us":300000},
+ "limits":{"try_limit":3,"cancel":true},"obligations":{"cold_from":0.4,"ramp_time_us":5000000,"fall_multiple":3,"fall_us":2000000},
+ %s"services":[%s]}`, zone, kinds, duties, tenants, strings.Join(services, ","))
+}
+
+// What one customer's settings name comes from these alone: one class or five, none of the usual names, no zones, no tenants, other kinds.
+func TestOtherCustomersSettings(t *testing.T) {
+	zoned, bare := `"zone":"dock-7","zones":["dock-7","dock-9"],`, ""
+	for name, c := range map[string]struct {
+		settings        string
+		classes         []string
+		kinds           [2]string
+		zone, tenantTag string
+	}{
+		"one class, no zones, no tenants": {customer(bare, `["tide","ebb"]`, `["read","write"]`, []string{"ask"}, ""), []string{"ask"}, [2]string{"tide", "ebb"}, "", ""},
+		"five classes with zones and tenants": {customer(zoned, `["in","out"]`, `["read","write"]`, []string{"a", "b", "c", "d", "e"},
+			`"tenants":[{"name":"fleet","portion":0.6,"quota_rps":50},{"name":"yard","portion":0.4,"quota_rps":50}],`),
+			[]string{"a", "b", "c", "d", "e"}, [2]string{"in", "out"}, "dock-7", "X-Customer: fleet\r\n"},
+		"servers that do both": {customer(bare, `["all-in-one"]`, `["both"]`, []string{"x", "y"}, ""), []string{"x", "y"}, [2]string{"all-in-one", "all-in-one"}, "", ""},
+	} {
+		act := func(x *standin.Exchange) { x.Answer("one") }
+		read := func(x *standin.Exchange) { x.Read(0) }
+		if c.kinds[0] == c.kinds[1] {
+			read = act
+		}
+		_, r := replicaOf(t, "s1", c.kinds[0], read)
+		_, w := replicaOf(t, "s2", c.kinds[1], act)
+		r.Zone, w.Zone = c.zone, c.zone
+		agent, addr, path := agentOf(t, r, w), freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+		_, out := start(t, configure(t, path, addr, agent.Addr, c.settings, ""))
+		wait(t, name+": a ready program", func() bool { code, _ := call("GET", addr, "/-/ready"); return code == 200 })
+		for n, class := range c.classes {
+			text := strings.Replace(request(addr, n+1), "X-Qos: instruction\r\n", "X-Qos: "+class+"\r\n"+c.tenantTag, 1)
+			if got := answered(t, say(t, addr, text)); !strings.HasSuffix(got, "[DONE]\n\n") {
+				t.Errorf("%s, class %s: %q\n%s", name, class, got, out)
+			}
+		}
+	}
+	// Settings that can't be used are turned down with the key named.
+	usable := customer(zoned, `["in","out"]`, `["read","write"]`, []string{"a", "b", "c"}, "")
+	for text, key := range map[string]string{
+		strings.Replace(usable, `"read","write"`, `"read","sing"`, 1):                          "family_info.duty_by_kind",
+		strings.Replace(usable, `"repeat":"at_most_once"`, `"repeat":"sometimes"`, 1):          "services.1.repeat",
+		strings.Replace(usable, `"key_scope":"all"`, `"key_scope":"street"`, 1):                "services.2.key_scope",
+		strings.Replace(usable, `"siblings":3`, `"siblings":0`, 1):                             "siblings",
+		strings.Replace(usable, `"deadline_us":5000000`, `"deadline_us":"soon"`, 1):            "services.0.deadline_us",
+		strings.Replace(usable, `"name":"b",`, "", 1):                                          "services.1.name",
+		strings.Replace(usable, `"limits":{"try_limit":3,`, `"limits":{"try_limit":"few",`, 1): "limits.try_limit",
+	} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		cmd, out := start(t, configure(t, path, freeAddr(t), freeAddr(t), text, ""))
+		if err := cmd.Wait(); err == nil || !strings.Contains(out.String(), key) {
+			t.Errorf("want %s: %v\n%s", key, err, out)
+		}
+	}
+}
+
+// The deploy file names every package of the repository that the dispatcher links, and none that it doesn't.
+func TestDeployFileNamesWhatTheDispatcherLinks(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var deploy struct {
+		Policy []string `toml:"policy"`
+		Node   []string `toml:"node"`
+	}
+	if err := toml.Unmarshal(text, &deploy); err != nil {
+		t.Fatal(err)
+	}
+	out, err := exec.Command("go", "list", "-deps", "-f", "{{if not .Standard}}{{.ImportPath}}{{end}}", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var links []string
+	for _, pkg := range strings.Fields(string(out)) {
+		if path, ours := strings.CutPrefix(pkg, "standpulley/"); ours {
+			links = append(links, path)
+		}
+	}
+	under := func(path, folder string) bool { return path == folder || strings.HasPrefix(path, folder+"/") }
+	named := slices.Clone(deploy.Node)
+	for _, p := range deploy.Policy {
+		named = append(named, filepath.Dir(p))
+	}
+	for _, pkg := range links {
+		if !slices.ContainsFunc(named, func(n string) bool { return under(pkg, n) }) {
+			t.Errorf("%s is linked and not named", pkg)
+		}
+	}
+	for _, n := range deploy.Node {
+		if !slices.ContainsFunc(links, func(pkg string) bool { return under(pkg, n) }) {
+			t.Errorf("%s is named and not linked", n)
+		}
+	}
+}
