--- /dev/null
+++ b/internal/dispatch/instant_test.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"standpulley/logic"
+)
+
+// The deadline and the first event of an answer come at one instant, in both orders: there is one answer, and a stream that comes second
+// is closed.
+func TestDeadlineAndAnswerAtOneInstant(t *testing.T) {
+	for _, deadlineFirst := range []bool{true, false} {
+		d, _ := core(t, 9)
+		now := time.Now()
+		d.clock = func() time.Time { return now }
+		k, p := take(d, "a", "unsafe")
+		end(d, p, logic.ReadDone)
+		p.sent[1].tell.Written()
+		s := &closer{}
+		now = now.Add(2*time.Second + backstop)
+		if deadlineFirst {
+			d.ring()
+		}
+		p.sent[1].tell.Began(s)
+		drive(d)
+		d.ring()
+		want := Served
+		if deadlineFirst {
+			want = Failed
+		}
+		if a := answerOf(t, k); a.Verdict != want || (a.Verdict == Served) != (a.Stream != nil) {
+			t.Errorf("deadline first %v: %+v", deadlineFirst, a)
+		}
+		none(t, k)
+		if deadlineFirst && !s.closed() {
+			t.Error("the stream that came second stays open")
+		}
+	}
+}
+
+// A client leaves while its request is parked, as no server can take it: no attempt begins after that, whoever comes back.
+func TestClientLeavesWhileItsRequestIsParked(t *testing.T) {
+	d, _ := core(t, 9)
+	now := time.Now()
+	d.clock = func() time.Time { return now }
+	list := Update{Full: true}
+	for _, s := range d.servers {
+		list.Servers = append(list.Servers, Server{Addr: s.Addr, ServerEntry: s.ServerEntry})
+	}
+	Update{Full: true}.apply(d)
+	k, p := take(d, "a", "safe")
+	if len(p.sent) != 0 {
+		t.Fatalf("%d sends where there is nobody", len(p.sent))
+	}
+	k.Leave()
+	drive(d)
+	list.apply(d)
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+		d.ring()
+	}
+	if len(p.sent) != 0 {
+		t.Errorf("%d sends after the client left", len(p.sent))
+	}
+	if a := answerOf(t, k); a.Verdict != Left {
+		t.Errorf("%v", a.Verdict)
+	}
+}
+
+// The list takes a server back in the very step in which it withdraws another, and an id comes with a new address: what was routed to the
+// old one does not leave.
+func TestIDWithAnotherAddressIsWithdrawn(t *testing.T) {
+	d, _ := core(t, 9)
+	_, p := take(d, "a", "safe")
+	first := p.sent[0]
+	if err := first.to.Leave(); err != nil {
+		t.Fatal(err)
+	}
+	Update{Servers: []Server{{Addr: "elsewhere", ServerEntry: logic.ServerEntry{ID: "r1", Kind: "r", Weight: 1}}}}.apply(d)
+	if err := first.to.Leave(); err != ErrWithdrawn {
+		t.Errorf("to the address before: %v", err)
+	}
+	if s := d.servers["r1"]; s.Addr != "elsewhere" || s.withdrawn.Load() {
+		t.Errorf("%+v", s)
+	}
+}
--- a/internal/replica/opening_test.go
+++ b/internal/replica/opening_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -130,3 +132,30 @@
 		t.Errorf("%v, the same connection: %v, %d open", err, other == c, pool.open)
 	}
 }
+
+// Guards: an attempt that was given up while it connected could write before it was interrupted. The fence stands before its first byte;
+// what has begun to leave goes on.
+func TestNoByteOnceGivenUp(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		ours, theirs := net.Pipe()
+		got := make(chan string, 1)
+		go func() { text, _ := io.ReadAll(theirs); got <- string(text) }() // its end is that of the pipe
+		ctx, cancel := context.WithCancel(context.Background())
+		f := &fence{Conn: ours, ctx: ctx}
+		want := ""
+		if begun {
+			if _, err := f.Write([]byte("a")); err != nil {
+				t.Fatal(err)
+			}
+			want = "ab"
+		}
+		cancel()
+		if _, err := f.Write([]byte("b")); errors.Is(err, errNoLeave) == begun {
+			t.Errorf("begun %v: %v", begun, err)
+		}
+		_ = ours.Close()
+		if text := <-got; text != want {
+			t.Errorf("begun %v: %q left", begun, text)
+		}
+	}
+}
