--- a/internal/fleetmodel/client.go
+++ b/internal/fleetmodel/client.go
@@ -120,7 +120,7 @@
 		}
 		m.open()
 		risen := min(0.2+0.8*float64(m.now-start+prelude)/float64(prelude), 1)
-		m.after(seconds(m.rnd.ExpFloat64()/(m.day.Rate*risen*turns)), begin)
+		m.after(seconds(m.rnd.ExpFloat64()/(m.day.Rate*risen*m.day.Burst.at(m.now-start)*turns)), begin)
 	}
 	m.after(0, begin)
 }
--- a/internal/fleetmodel/model.go
+++ b/internal/fleetmodel/model.go
@@ -27,6 +27,7 @@
 	Lag     time.Duration // from a change of the list until routers hear of it, on average
 	Events  []Change
 	Uneven  float64 // how unevenly the front spreads clients: 0 evenly
+	Burst   Burst
 
 	Places    int           // connections that a replica holds; 0 = any number
 	Tries     int           // that a client makes again; 0 = mostTries
@@ -34,6 +35,20 @@
 	Handshake time.Duration // work that a new connection costs a replica
 }
 
+// Burst is a time in which requests come more often.
+type Burst struct {
+	From, To time.Duration
+	Times    float64 // as often
+}
+
+// at tells how much more often requests come at a time.
+func (b Burst) at(t time.Duration) float64 {
+	if t >= b.From && t < b.To {
+		return b.Times
+	}
+	return 1
+}
+
 // Change is something that happens to the fleet.
 type Change struct {
 	At time.Duration
--- a/internal/fleetmodel/replica.go
+++ b/internal/fleetmodel/replica.go
@@ -163,6 +163,7 @@
 	}
 	allowed := m.set.FallMultiple * s.capacity() * m.day.Rate / each / full * m.set.FallTime.Seconds()
 	m.report.Pressure = max(m.report.Pressure, float64(n)/allowed)
+	m.report.Fall = max(m.report.Fall, float64(n)/(allowed+2*math.Sqrt(allowed)+2))
 }
 
 // drop takes out a call that is given up: one that waits, or runs at a writer. A read that runs goes on.
--- a/internal/fleetmodel/report.go
+++ b/internal/fleetmodel/report.go
@@ -25,6 +25,7 @@
 	Rows      []Row
 	Served    float64 // worth served over worth asked for, as the operators count it: late answers by their share
 	Pressure  float64 // most that a cold replica was sent, of what the rule on cold replicas allows
+	Fall      float64 // the same, beside what chance may add to it: over 1 the replica falls
 	Cancelled int     // attempts that routers gave up by choice
 	Full      int     // attempts turned away as full
 	Wasted    int     // reads that ran to their end for nobody
