--- a/internal/fleetmodel/client.go
+++ b/internal/fleetmodel/client.go
@@ -197,6 +197,7 @@
 func (m *Model) refused(q *ask, pause time.Duration) {
 	if q.tries >= cmp.Or(m.day.Tries, mostTries) {
 		m.report.row(q).Refused++
+		m.report.end(q, false)
 		m.on(q.talk)
 		return
 	}
@@ -212,6 +213,7 @@
 		return
 	}
 	m.report.row(q).Failed++
+	m.report.end(q, false)
 	m.on(q.talk)
 }
 
--- a/internal/fleetmodel/report.go
+++ b/internal/fleetmodel/report.go
@@ -1,7 +1,10 @@
 package fleetmodel
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -35,6 +38,68 @@
 	anew, all float64 // tokens read, and of all prompts read
 	set       logic.Settings
 	before    Row // the prelude
+	ended     []ended
+}
+
+// ended is a request with its last word.
+type ended struct {
+	class    int
+	session  uint64
+	prompt   float64
+	answered bool // in time or late
+}
+
+// end books a request's last word.
+func (r *Report) end(q *ask, answered bool) {
+	if q.first >= start {
+		r.ended = append(r.ended, ended{q.talk.class, q.session, q.prompt, answered})
+	}
+}
+
+// Answered is the share of a class's requests that were answered: of those with the longest prompts, by their part of the class, and of all.
+func (r *Report) Answered(class int, part float64) (longest, all float64) {
+	var of []ended
+	for _, e := range r.ended {
+		if e.class == class {
+			of = append(of, e)
+		}
+	}
+	slices.SortStableFunc(of, func(a, b ended) int { return cmp.Compare(b.prompt, a.prompt) })
+	share := func(of []ended) float64 {
+		n := 0
+		for _, e := range of {
+			if e.answered {
+				n++
+			}
+		}
+		return float64(n) / float64(max(len(of), 1))
+	}
+	return share(of[:int(part*float64(len(of)))]), share(of)
+}
+
+// Shunned is the share of a class's sessions of which no turn was answered, and what chance gives with its share of answers.
+func (r *Report) Shunned(class int) (shunned, chance float64) {
+	turns, refused, no, all := map[uint64]int{}, map[uint64]int{}, 0.0, 0.0
+	for _, e := range r.ended {
+		if e.class != class {
+			continue
+		}
+		turns[e.session]++
+		all++
+		if !e.answered {
+			refused[e.session]++
+			no++
+		}
+	}
+	sessions, sum, by := 0.0, 0.0, 0.0
+	for _, s := range slices.Sorted(maps.Keys(turns)) { // sums of floats, in one order
+		sessions++
+		by += math.Pow(no/all, float64(turns[s]))
+		if refused[s] == turns[s] {
+			sum++
+		}
+	}
+	return sum / max(sessions, 1), by / max(sessions, 1)
 }
 
 func newReport(m *Model) Report {
@@ -66,6 +131,7 @@
 func (r *Report) served(q *ask, took time.Duration) {
 	class, row := r.set.Classes[q.talk.class], r.row(q)
 	row.waits = append(row.waits, took.Seconds())
+	r.end(q, true)
 	if took <= class.Aim+seconds(class.AimPer1K.Seconds()*q.prompt/1000) {
 		row.InTime++
 		row.earned += r.worth(q)
