Leave descriptors for discovery, the door and the runtime also under a small limit

Need: idle clients may fill the descriptors while discovery is down; discovery, replicas and the door keep theirs. Found by reading: 0.45 of the sockets for clients and 0.4 for replicas left 9 of 64 for all else, where the door's callers alone may be 16. Change: at least 40 are left, whatever the limit; from about 270 sockets on nothing differs (460 and 409 of 1,024 as before).

--- a/cmd/standpulley/ending_test.go
+++ b/cmd/standpulley/ending_test.go
@@ -237,7 +237,9 @@
 	next := agentOf(t, r, l, s)
 	configure(t, path, addr, next.Addr, settings, "")
 	signalTo(t, cmd, syscall.SIGHUP)
-	wait(t, "the list of the new discovery", func() bool { return strings.Contains(out.String(), "list: leaving writer "+l.Addr+" zone z cell 0 is draining") })
+	wait(t, "the list of the new discovery", func() bool {
+		return strings.Contains(out.String(), "list: leaving writer "+l.Addr+" zone z cell 0 is draining")
+	})
 	before := len(leaving.Calls("POST"))
 	for n := range 20 {
 		if text := answered(t, ask(t, addr, n+1)); !strings.Contains(text, "staying") {
@@ -248,3 +250,43 @@
 		t.Errorf("%d sends to who leaves", n-before)
 	}
 }
+
+// Idle clients take every descriptor that they may have, under a limit of the machine's own. Discovery, replicas and the operators' door keep
+// theirs: a drain is heard of, a request is served, the door answers, and nothing spins.
+func TestIdleClientsLeaveDescriptorsForOthers(t *testing.T) {
+	for _, sockets := range []int{64, 256} {
+		_, r := replicaOf(t, "reader", "reader", func(x *standin.Exchange) { x.Read(0) })
+		_, l := replicaOf(t, "leaving", "writer", func(x *standin.Exchange) { x.Answer("leaving") })
+		_, s := replicaOf(t, "staying", "writer", func(x *standin.Exchange) { x.Answer("staying") })
+		agent, addr, door, path := agentOf(t, r, l, s), freeAddr(t), freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+		cmd := exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, sockets), os.Args[0])
+		cmd.Env = append(os.Environ(), append(configure(t, path, addr, agent.Addr, settings, fmt.Sprintf(`,"limits":{"sockets":%d}`, sockets)),
+			"EDGE_OPERATOR="+door, "STANDPULLEY_AS_PROGRAM=1")...)
+		out := &lines{}
+		cmd.Stdout, cmd.Stderr = out, out
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = cmd.Process.Kill() }) // it may have ended
+		wait(t, "a ready program", func() bool { return strings.Contains(out.String(), "n0: ready") })
+		for range 2 * sockets {
+			say(t, addr, "")
+		}
+		l.State = "terminating"
+		agent.Set(r, l, s)
+		wait(t, "the drain", func() bool {
+			return strings.Contains(out.String(), "list: leaving writer "+l.Addr+" zone z cell 0 is draining")
+		})
+		for n := range 5 {
+			if text := answered(t, ask(t, addr, n+1)); !strings.Contains(text, "staying") {
+				t.Errorf("%d sockets: %q", sockets, text)
+			}
+			if !ready(door)() {
+				t.Errorf("%d sockets: the door does not answer", sockets)
+			}
+		}
+		if strings.Contains(out.String(), "too many open files") {
+			t.Errorf("%d sockets: %s", sockets, out)
+		}
+	}
+}
--- a/internal/program/force.go
+++ b/internal/program/force.go
@@ -16,7 +16,8 @@
 const (
 	memoryShare  = 0.7                    // of the limit that Go may use before it collects harder
 	clientShare  = 0.45                   // of the sockets, for clients of all fronts together
-	replicaShare = 0.4                    // and for replicas; the rest is for discovery, files and the console
+	replicaShare = 0.4                    // and for replicas
+	keptSockets  = 40                     // and no fewer for all else: discovery, the door and its callers, the runtime, who is told to go
 	firstList    = 500 * time.Millisecond // how long a start waits for discovery, as what is known may be old
 	comingShare  = 0.1                    // and for those that are being read
 )
@@ -136,10 +137,18 @@
 	return p.agreed.lists
 }
 
+// share divides the sockets that a process may hold. The rest is for discovery, the door, files and the console.
+func share(sockets int) (clients, replicas int) {
+	free := float64(sockets - keptSockets)
+	part := func(of float64) int { return int(min(of*float64(sockets), of/(clientShare+replicaShare)*free)) }
+	return part(clientShare), part(replicaShare)
+}
+
 // limit keeps the process within what a configuration states.
 func (p *program) limit(cfg config.Config) {
-	p.gate.Limit(int(clientShare*float64(cfg.Limits.Sockets)), int(comingShare*float64(cfg.Limits.MemoryMB<<20)))
-	p.pool.Limit(int(replicaShare*float64(cfg.Limits.Sockets)), cfg.Settings.ConnIdle, cfg.Settings.ConnectTimeout)
+	clients, replicas := share(cfg.Limits.Sockets)
+	p.gate.Limit(clients, int(comingShare*float64(cfg.Limits.MemoryMB<<20)))
+	p.pool.Limit(replicas, cfg.Settings.ConnIdle, cfg.Settings.ConnectTimeout)
 	runtime.GOMAXPROCS(max(int(cfg.Limits.Cores+0.5), 1))
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
 }
