Read what came at the end of a connection's time only where it rests

TestRequestThatKeepsComingIsAnsweredInTime holds the time of a request that keeps coming (1 byte a ms); it passes before the change as well, as no byte is there in the instant of the end.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -64,7 +64,8 @@
 	}
 }
 
-// Read gives back first what a watch has read. Where the time for a request to come is over just as it comes, it has come.
+// Read gives back first what a watch has read. Where the time of a resting connection is over just as a request comes, it has come; one
+// that is coming keeps to its time.
 func (c *Conn) Read(p []byte) (int, error) {
 	if len(c.ahead) > 0 && len(p) > 0 {
 		n := copy(p, c.ahead)
@@ -74,21 +75,14 @@
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		if n, end := c.arrived(p); n > 0 || end {
-			return n, endOf(n)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.mayBeAnswered() {
+		if n, _ := c.arrived(p); n > 0 {
+			return n, nil
 		}
 	}
 	return n, err
 }
 
-func endOf(n int) error {
-	if n > 0 {
-		return nil
-	}
-	return io.EOF
-}
-
 // arrived reads what has come already, without waiting. It tells whether the client has ended the connection.
 func (c *Conn) arrived(p []byte) (n int, end bool) {
 	sc, ok := c.Conn.(syscall.Conn)
--- a/internal/front/platform/leaving_test.go
+++ b/internal/front/platform/leaving_test.go
@@ -115,3 +115,33 @@
 		}
 	}
 }
+
+// A request that keeps coming, a little at a time, has its time like any other: an answer is owed within 3 s of connecting.
+func TestRequestThatKeepsComingIsAnsweredInTime(t *testing.T) {
+	_, addr := start(t, fronttest.Read, serve)
+	for name, c := range map[string]struct{ head, again string }{
+		"a body": {strings.Replace(raw("enquiry", "2000m"), "Content-Length: 4\r\n\r\n{  }", "Transfer-Encoding: chunked\r\n\r\n", 1), "1\r\n \r\n"},
+		"a head": {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Filler: ", "x"},
+	} {
+		conn := send(t, addr, c.head)
+		stop := make(chan bool)
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Millisecond):
+					if _, err := io.WriteString(conn, c.again); err != nil {
+						return
+					}
+				}
+			}
+		}()
+		from := time.Now()
+		resp, _, _ := answer(t, conn)
+		close(stop)
+		if took := time.Since(from); resp.StatusCode < 400 || took > 4*time.Second {
+			t.Errorf("%s: %d after %v", name, resp.StatusCode, took)
+		}
+	}
+}
