Pass on every header of a request that is not the client's connection's own

Cause: platform.request passed on six headers by name. Which others a deployment has, and what they mean, only its clients and replicas know. Change: all go on as they came, but for those of one connection (RFC 9110, 7.6.1, and what Connection names), the framing, the id and the deadline, which the dispatcher says itself. Headers that come twice go on twice. The chat front passes on the client's Idempotency-Key. TestHeadersGoOnAsTheyCame fails on the file before (Idempotency-Key and X-Anything are missing).

--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -155,7 +155,7 @@
 	}
 	t := f.core.Take(dispatch.Request{ID: id, Ask: ask, Received: received, Size: len(text), Noted: noted, Parcel: &replica.Parcel{
 		Pool: f.pool, ID: id, Method: fasthttp.MethodPost, URI: path, Host: string(h.Host()), Body: text,
-		Headers: headers(ask)}})
+		Headers: headers(ask, h)}})
 	a, stop := front.Await(ctx, t)
 	done(a.MayRun || a.Verdict == dispatch.Served)
 	f.answer(ctx, t, a, stop, b, class)
@@ -243,7 +243,7 @@
 
 // mark names an instruction: by the client's key if it gave one, else by its words.
 func (f *Front) mark(h *fasthttp.RequestHeader, b *body, text []byte) (key uint64, named bool) {
-	if k := h.Peek("Idempotency-Key"); len(k) > 0 {
+	if k := h.Peek(once.HeaderKey); len(k) > 0 {
 		return hash("key", b.User, string(k)), true
 	}
 	return hash("words", string(h.Peek("Authorization")), string(text)), false
@@ -263,13 +263,17 @@
 	return err == nil && n > 0
 }
 
-func headers(q logic.Request) [][2]string {
+func headers(q logic.Request, h *fasthttp.RequestHeader) [][2]string {
 	props := fmt.Sprintf("prompt_len=%d,max_out=%d", q.PromptTokens, q.MaxOutput)
 	if q.Prefix != 0 {
 		props = fmt.Sprintf("prefix=%016x,prefix_len=%d,", q.Prefix, q.PrefixTokens) + props
 	}
-	return [][2]string{{"Content-Type", "application/json"}, {"X-Qos", q.Class},
+	all := [][2]string{{"Content-Type", "application/json"}, {"X-Qos", q.Class},
 		{"X-Object", fmt.Sprintf("%016x", q.Session)}, {"X-Props", props}}
+	if key := h.Peek(once.HeaderKey); len(key) > 0 { // replicas may throw repeats away by it
+		all = append(all, [2]string{once.HeaderKey, string(key)})
+	}
+	return all
 }
 
 func newID() string {
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"errors"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,6 +28,24 @@
 	return true
 }
 
+// hopByHop are headers that hold for one connection alone (RFC 9110, 7.6.1), and those of the framing, which is made anew.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host"}
+
+// PassedOn gives the headers of a request that go on to replicas as they came: all, but for those that hold for the client's connection
+// alone and for those that the dispatcher says itself. What some mean, as the key by which replicas throw repeats away, only replicas know.
+func PassedOn(h *fasthttp.RequestHeader, own ...string) (all [][2]string) {
+	skip := append(strings.Split(string(h.Peek("Connection")), ","), hopByHop...)
+	skip = append(skip, own...)
+	for name, value := range h.All() {
+		is := func(other string) bool { return strings.EqualFold(strings.TrimSpace(other), string(name)) }
+		if !slices.ContainsFunc(skip, is) {
+			all = append(all, [2]string{string(name), string(value)})
+		}
+	}
+	return all
+}
+
 // RetryAfter tells the client in decimal seconds when to come back.
 func RetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
 	ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(max(after, 0).Seconds(), 'f', 3, 64))
--- /dev/null
+++ b/internal/front/platform/passed_test.go
@@ -0,0 +1,47 @@
+package platform
+
+import (
+	"strings"
+	"testing"
+
+	"standpulley/internal/fronttest"
+	"standpulley/internal/standin"
+)
+
+// Guards: headers that the program did not know stayed behind, among them the key by which replicas throw repeats away. All that is not of
+// the client's connection alone goes on as it came, to every replica; what the dispatcher says itself, it says once.
+func TestHeadersGoOnAsTheyCame(t *testing.T) {
+	rig, addr := start(t, fronttest.Read, serve)
+	text := strings.Replace(raw("enquiry", "3000m"), "X-Object:", "Idempotency-Key:  k 1, \"x\" \r\nx-anything: a=b;c\r\nX-Twice: 1\r\nX-Twice: 2\r\n"+
+		"Connection: keep-alive, X-Hop\r\nX-Hop: mine\r\nKeep-Alive: timeout=5\r\nTE: trailers\r\nContent-Type: application/json\r\nX-Object:", 1)
+	if resp, _, whole := answer(t, send(t, addr, text)); resp.StatusCode != 200 || !whole {
+		t.Fatalf("%d", resp.StatusCode)
+	}
+	for _, calls := range [][]map[string]string{headersOf(rig.Reader.Calls("POST")), headersOf(rig.Writers[0].Calls("POST"))} {
+		if len(calls) != 1 {
+			t.Fatalf("%d calls", len(calls))
+		}
+		got := calls[0]
+		for name, want := range map[string]string{"Idempotency-Key": `k 1, "x"`, "X-Anything": "a=b;c", "X-Twice": "2", "X-Qos": "enquiry",
+			"X-Object": "7f3a", "X-Props": "prefix=5c0f,prompt_len=100,prefix_len=50,max_out=80", "Content-Type": "application/json", "Host": "backend.local"} {
+			if got[name] != want {
+				t.Errorf("%s: %q, want %q", name, got[name], want)
+			}
+		}
+		for _, name := range []string{"X-Hop", "Keep-Alive", "Te", "Connection", "Transfer-Encoding"} {
+			if v, ok := got[name]; ok {
+				t.Errorf("%s: %q went on", name, v)
+			}
+		}
+		if v := got["X-Expires-In"]; v == "3000m" || !strings.HasSuffix(v, "u") {
+			t.Errorf("X-Expires-In: %q is the client's", v)
+		}
+	}
+}
+
+func headersOf(calls []standin.Call) (all []map[string]string) {
+	for _, c := range calls {
+		all = append(all, c.Header)
+	}
+	return all
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -165,11 +165,7 @@
 	ask.Again, ask.Resumed = try == "1", try == "again"
 	parcel := &replica.Parcel{Pool: f.pool, ID: q.ID, Method: string(in.Header.Method()),
 		URI: string(in.RequestURI()), Host: string(in.Header.Host()), Body: body}
-	for _, name := range []string{"Content-Type", "X-Qos", "X-Object", "X-Customer", "X-Props", "X-Second-Try"} {
-		if v := in.Header.Peek(name); len(v) > 0 {
-			parcel.Headers = append(parcel.Headers, [2]string{name, string(v)})
-		}
-	}
+	parcel.Headers = front.PassedOn(&in.Header, "X-Trace-Id", "X-Expires-In")
 	q.Parcel, q.Size, q.Movable = parcel, len(body), set.movable
 	return q, nil
 }
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -148,7 +148,7 @@
 	req.Header.SetRequestURI(a.p.URI) // as it is: a parsed one would be normalized and take the host's place
 	req.Header.SetHost(cmp.Or(a.p.Host, a.to.Addr))
 	for _, h := range a.p.Headers {
-		req.Header.Set(h[0], h[1])
+		req.Header.Add(h[0], h[1])
 	}
 	req.Header.Set(headerID, a.p.ID)
 	req.Header.Set(headerExpires, strconv.FormatInt(max(time.Until(a.to.Until).Microseconds(), 1), 10)+"u")
