--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -167,6 +167,9 @@
 		URI: string(in.RequestURI()), Host: string(in.Header.Host()), Body: body}
 	parcel.Headers = front.PassedOn(&in.Header, "X-Trace-Id", "X-Expires-In")
 	q.Parcel, q.Size, q.Movable = parcel, len(body), set.movable
+	for _, h := range parcel.Headers {
+		q.Size += len(h[0]) + len(h[1])
+	}
 	return q, nil
 }
 
