See the end of a connection behind all that came before it, whatever the room for it

Found by reading: the look before a request is taken stopped at the first read that did not fill its room, and missed an end right behind it. It goes on until nothing is there.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -104,10 +104,9 @@
 // Left tells whether the client has ended the connection, whatever it sent before that. Nothing else may read meanwhile.
 func (c *Conn) Left() bool {
 	for len(c.ahead) < aheadMost {
-		room := c.room()
-		n, end := c.arrived(room)
+		n, end := c.arrived(c.room())
 		c.ahead = c.ahead[:len(c.ahead)+n]
-		if end || n < len(room) {
+		if end || n == 0 {
 			return end
 		}
 	}
--- a/internal/front/platform/leaving_test.go
+++ b/internal/front/platform/leaving_test.go
@@ -57,6 +57,7 @@
 		for range 10 {
 			end(send(t, port.Addr(), raw("instruction", "3000m")))
 			end(send(t, port.Addr(), raw("enquiry", "3000m")+raw("enquiry", "3000m")))
+			end(send(t, port.Addr(), strings.Repeat(raw("enquiry", "3000m"), 40))) // more than is read with the first
 		}
 		last := send(t, port.Addr(), raw("enquiry", "3000m"))
 		server := New(rig.Core, rig.Pool, fronttest.Settings(), nil).Server()
