--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -159,3 +159,46 @@
 		}
 	}
 }
+
+// A list comes indented, in pieces and late, whole and lacking an entry, and from a version that has gone back: each is told as it is, and
+// the next call goes on from what was told last.
+func TestListsInEveryForm(t *testing.T) {
+	t.Parallel()
+	s := script(t)
+	told := watch(t, &discovery.Watcher{Addr: s.addr, Siblings: 3})
+	entry := func(id, state string) string {
+		return fmt.Sprintf("\n    {\n      \"id\": %q,\n      \"addr\": \"127.0.0.1:1\",\n      \"kind\": \"k\",\n      \"state\": %q\n    }", id, state)
+	}
+	pieces := func(c call, text string) {
+		text = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		for len(text) > 0 {
+			n := min(7, len(text))
+			if _, err := c.conn.Write([]byte(text[:n])); err != nil {
+				return // seen by what is told
+			}
+			text = text[n:]
+		}
+	}
+	for _, x := range []struct {
+		text  string
+		full  bool
+		ids   int
+		query string // of the call after it
+	}{
+		{"{\n  \"version\": 7,\n  \"full\": true,\n  \"servers\": [" + entry("a", "in_service") + "," + entry("b", "in_service") + "\n  ]\n}\n", true, 2, "index=7&"},
+		{"{\n  \"version\": 9,\n  \"full\": false,\n  \"servers\": [" + entry("a", "terminating") + "\n  ]\n}", false, 1, "index=9&"},
+		{`{"version":10,"full":true,"servers":[` + entry("b", "in_service") + `]}`, true, 1, "index=10&"},
+		{`{"version":4,"full":true,"servers":[` + entry("a", "in_service") + `]}`, true, 1, "index=4&"},
+	} {
+		pieces(s.next(t), x.text)
+		u := <-told
+		if u.Full != x.full || len(u.Servers) != x.ids {
+			t.Errorf("told %+v of %q", u, x.text)
+		}
+		next := s.next(t)
+		if !strings.HasPrefix(next.query, x.query) {
+			t.Errorf("after %q: asked %q", x.text, next.query)
+		}
+		s.calls <- next // it is answered by the next list
+	}
+}
--- /dev/null
+++ b/internal/front/platform/slow_test.go
@@ -0,0 +1,61 @@
+package platform
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"standpulley/internal/fronttest"
+	"standpulley/internal/standin"
+)
+
+// A client that takes nothing of a long stream holds up nobody: the events of another pass one by one, each before its replica writes the
+// next.
+func TestSlowReaderHoldsUpNobody(t *testing.T) {
+	next, full := make(chan bool), make(chan bool, 1)
+	_, addr := start(t, fronttest.Read, func(x *standin.Exchange) {
+		x.Head()
+		if strings.HasSuffix(string(x.Req.Header.Peek("X-Object")), "f") { // the slow one's
+			for range 1 << 12 { // 32 MB, of which the machine holds a part
+				x.Token(strings.Repeat("x", 8<<10))
+				select {
+				case full <- true:
+				default:
+				}
+			}
+			return
+		}
+		for range 20 {
+			x.Token("word")
+			if !<-next {
+				return
+			}
+		}
+		x.End()
+	})
+	send(t, addr, strings.Replace(raw("enquiry", "3000m"), "X-Object: 7f3a", "X-Object: 7f3f", 1)) // and reads nothing
+	<-full
+	c := send(t, addr, raw("enquiry", "3000m"))
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%v %v", resp, err)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for n := 0; n < 20; {
+		if !lines.Scan() {
+			t.Fatalf("%d events came: %v", n, lines.Err())
+		}
+		if strings.Contains(lines.Text(), "word") {
+			n++
+			next <- true // the replica writes another only now
+		}
+	}
+	for lines.Scan() {
+	}
+	if lines.Err() != nil {
+		t.Error(lines.Err())
+	}
+}
