--- a/internal/dispatch/instant_test.go
+++ b/internal/dispatch/instant_test.go
@@ -85,3 +85,32 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// A client that repeats its request, under the same id, as soon as it is refused is a new one: it is refused again or served, and answered
+// once each time. While the first is open the second has failed, and the first goes on.
+func TestRepeatAsSoonAsRefused(t *testing.T) {
+	d, _ := core(t, 1)
+	open, p := take(d, "a", "safe")
+	for range 3 {
+		k, again := take(d, "b", "safe")
+		if a := answerOf(t, k); a.Verdict != Refused || a.After <= 0 || len(again.sent) != 0 {
+			t.Errorf("%+v after %d sends", a, len(again.sent))
+		}
+		none(t, k)
+	}
+	same, again := take(d, "a", "safe")
+	if a := answerOf(t, same); a.Verdict != Failed || len(again.sent) != 0 {
+		t.Errorf("the id of an open one: %+v", a)
+	}
+	none(t, open)
+	end(d, p, logic.ReadDone)
+	p.sent[1].tell.Began(&closer{})
+	end(d, p, logic.Delivered)
+	if a := answerOf(t, open); a.Verdict != Served {
+		t.Errorf("the open one: %v", a.Verdict)
+	}
+	k, again := take(d, "b", "safe")
+	if none(t, k); len(again.sent) != 1 {
+		t.Errorf("with room again: %d sends", len(again.sent))
+	}
+}
