Call the pause after a call that was turned away what it is: a backoff

Words only, in the code that this work touched: spread is backoff, pauseMost backoffMost, turnedAway backoffEach, brokenPause reconnectAfter.

--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -28,7 +28,7 @@
 			w := Watcher{Siblings: siblings}
 			least, most := time.Hour, time.Duration(0)
 			for range 200 {
-				d := w.spread(before)
+				d := w.backoff(before)
 				least, most = min(least, d), max(most, d)
 			}
 			if least <= 0 || most+dialLimit >= countsAsTold || siblings > 1 && most-least < most/4 {
@@ -38,14 +38,14 @@
 	}
 	for _, pushed := range []bool{true, false} {
 		w := Watcher{Pushed: pushed}
-		if sum := dialLimit + w.replyLimit() + brokenPause + dialLimit; sum >= countsAsTold {
+		if sum := dialLimit + w.replyLimit() + reconnectAfter + dialLimit; sum >= countsAsTold {
 			t.Errorf("pushed %v: %v around a call without an answer", pushed, sum)
 		}
-		if sum := watchWait + silentMost + brokenPause + dialLimit + agentLimit; sum >= countsAsTold {
+		if sum := watchWait + silentMost + reconnectAfter + dialLimit + agentLimit; sum >= countsAsTold {
 			t.Errorf("%v around a watch that has fallen silent", sum)
 		}
 	}
-	if sum := dialLimit + agentLimit + brokenPause; sum >= time.Second {
+	if sum := dialLimit + agentLimit + reconnectAfter; sum >= time.Second {
 		t.Errorf("an agent to which lists are pushed is asked every %v while it is silent", sum)
 	}
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -22,8 +22,8 @@
 // bounded below that, from the moment at which discovery answers again to the next call that it answers:
 //
 //	a watch that has fallen silent   watchWait + silentMost
-//	a call that is not answered      dialLimit + replyLimit + brokenPause
-//	a call that is turned away       pauseMost
+//	a call that is not answered      dialLimit + replyLimit + reconnectAfter
+//	a call that is turned away       backoffMost
 //
 // All dispatchers may lose discovery at one moment; where they share a service, what follows is drawn for each.
 const (
@@ -36,14 +36,14 @@
 	dialLimit  = 250 * time.Millisecond
 	maxList    = 4 << 20
 
-	brokenPause = 50 * time.Millisecond   // after a broken connection: a watch goes on only if the next call comes within 200 ms
-	turnedAway  = 100 * time.Millisecond  // for each dispatcher that asks the same service, after it turned a call away
-	pauseMost   = 4500 * time.Millisecond // to this the pause doubles
+	reconnectAfter = 50 * time.Millisecond   // after a broken connection: a watch goes on only if the next call comes within 200 ms
+	backoffEach    = 100 * time.Millisecond  // for each dispatcher that asks the same service, after it turned a call away
+	backoffMost    = 4500 * time.Millisecond // to this the pause doubles
 )
 
 // Watcher follows the agent at Addr and hands each list to Tell. Behind the agents of all dispatchers stands one service:
 // where it turns a call away or answers what can't be used, the next comes after a pause drawn from a time that grows with
-// their number, Siblings (0 counts as 1), and doubles up to pauseMost. Asked again at once by all, it would never have time
+// their number, Siblings (0 counts as 1), and doubles up to backoffMost. Asked again at once by all, it would never have time
 // to answer any.
 type Watcher struct {
 	Addr     string
@@ -89,9 +89,9 @@
 				log.Printf("discovery: %v", err)
 			}
 			w.hangUp()
-			wait := brokenPause
+			wait := reconnectAfter
 			if errors.Is(err, errAnswer) {
-				wait = w.spread(away)
+				wait = w.backoff(away)
 				away++
 			}
 			missed = true
@@ -119,10 +119,10 @@
 	return watchWait + silentLeast + rand.N(silentMost-silentLeast)
 }
 
-// spread draws the pause after a call that was turned away, as were so many before it in a row: from half of the time to
+// backoff draws the pause after a call that was turned away, as were so many before it in a row: from half of the time to
 // all of it.
-func (w *Watcher) spread(before int) time.Duration {
-	most := min(turnedAway*time.Duration(max(w.Siblings, 1))<<min(before, 10), pauseMost)
+func (w *Watcher) backoff(before int) time.Duration {
+	most := min(backoffEach*time.Duration(max(w.Siblings, 1))<<min(before, 10), backoffMost)
 	return most/2 + rand.N(most/2)
 }
 
