Count at the replicas what runs, for each effect, its group and its window

At most once, deduplicated by all and by cell, with a window that has closed, and idempotent: the first writer breaks off after all of the request has come, or turns it away. It passes as the program stands.

--- /dev/null
+++ b/internal/front/platform/effects_test.go
@@ -0,0 +1,77 @@
+package platform
+
+import (
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"standpulley/internal/dispatch"
+	"standpulley/internal/fronttest"
+	"standpulley/internal/standin"
+	"standpulley/logic"
+)
+
+// What ran is counted at the replicas, for each effect: the first writer that gets a request breaks off after all of it has come, or turns
+// it away. At most once runs once; what replicas throw away is repeated only in its group and window; a refusal comes only where a repeat
+// is harmless.
+func TestWhatRunsIsCountedAtTheReplicas(t *testing.T) {
+	keyed := func(name string, scope logic.Scope, window time.Duration) logic.Class {
+		return logic.Class{Name: name, Aim: time.Second, Deadline: 3 * time.Second, TokenAim: 60 * time.Millisecond, Worth: 2,
+			Repeat: logic.Keyed, Scope: scope, Window: window}
+	}
+	set := fronttest.Settings()
+	set.Classes = append(set.Classes, keyed("all", logic.AllServers, time.Minute), keyed("cell", logic.SameCell, time.Minute),
+		keyed("short", logic.AllServers, time.Nanosecond))
+	breaks := func(x *standin.Exchange) { x.Break() }
+	full := func(x *standin.Exchange) { x.Status(503, true, "") }
+	for _, c := range []struct {
+		class  string
+		first  func(*standin.Exchange)
+		status []int // that may be answered
+		sends  int   // to writers, at most
+		cells  int   // to which it was sent, at most
+	}{
+		{"enquiry", breaks, []int{200}, 2, 2},
+		{"instruction", breaks, []int{502}, 1, 1},
+		{"instruction", full, []int{200}, 2, 2},
+		{"all", breaks, []int{200}, 2, 2},
+		{"cell", breaks, []int{200, 502}, 2, 1},
+		{"short", breaks, []int{503}, 1, 1},
+		{"short", full, []int{200}, 2, 2},
+	} {
+		var came atomic.Int64
+		act := func(x *standin.Exchange) {
+			if came.Add(1) == 1 {
+				c.first(x)
+				return
+			}
+			serve(x)
+		}
+		rig := fronttest.Start(t, fronttest.Read, act, act, act)
+		if err := rig.Core.Retune(set, dispatch.Bounds{Requests: 64, Bytes: 16 << 20}, nil); err != nil {
+			t.Fatal(err)
+		}
+		u := rig.Core.List()
+		for i := range u.Servers {
+			if u.Servers[i].Kind == "writer" {
+				u.Servers[i].Cell = int64(i)
+			}
+		}
+		rig.Core.Tell(u)
+		addr := rig.Serve(t, New(rig.Core, rig.Pool, set, nil).Server())
+		resp, _, whole := answer(t, send(t, addr, raw(c.class, "3000m")))
+		sends, cells := rig.Runs(), 0
+		for _, w := range rig.Writers {
+			if len(w.Calls("POST")) > 0 {
+				cells++
+			}
+		}
+		if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+			t.Errorf("%s: a refusal without a time to return", c.class)
+		}
+		if !slices.Contains(c.status, resp.StatusCode) || !whole || sends > c.sends || cells > c.cells {
+			t.Errorf("%s: %d, %d sends to %d cells, want one of %v, %d, %d", c.class, resp.StatusCode, sends, cells, c.status, c.sends, c.cells)
+		}
+	}
+}
