--- a/internal/dispatch/release_test.go
+++ b/internal/dispatch/release_test.go
@@ -8,6 +8,18 @@
 	"standpulley/logic"
 )
 
+// clocked is a core whose clock the test moves; pass lets time go by, and what is due is done.
+func clocked(t *testing.T) (d *Dispatcher, rel *released, pass func(time.Duration)) {
+	t.Helper()
+	d, rel = core(t, 9)
+	now := time.Now()
+	d.clock = func() time.Time { return now }
+	return d, rel, func(by time.Duration) {
+		now = now.Add(by)
+		d.ring()
+	}
+}
+
 // Guards: a zone that is cut off, whose replicas let calls run into their time, costs a release one try, so that what is held is let
 // go in time.
 func TestReleaseTriesOneOfEachZone(t *testing.T) {
@@ -25,9 +37,7 @@
 // Guards: what a read has left is let go in time while the attempt to fetch it can't connect, and not once its bytes have left.
 func TestHeldStateIsLetGoWhileNothingConnects(t *testing.T) {
 	for _, written := range []bool{false, true} {
-		d, rel := core(t, 9)
-		now := time.Now()
-		d.clock = func() time.Time { return now }
+		d, rel, pass := clocked(t)
 		_, p := take(d, "a", "unsafe")
 		end(d, p, logic.ReadDone)
 		if len(p.sent) != 2 {
@@ -36,8 +46,7 @@
 		if written {
 			p.sent[1].tell.Written()
 		}
-		now = now.Add(300 * time.Millisecond) // of the 500 that a state may be held
-		d.ring()
+		pass(300 * time.Millisecond) // of the 500 that a state may be held
 		if released := len(*rel) > 0; released == written {
 			t.Errorf("written %v, released %v", written, *rel)
 		}
@@ -47,14 +56,11 @@
 // Guards: a writer that a cut-off link leaves silent may never have come for the state. Once the attempt there is over, the state is let
 // go in time although further attempts that can't connect are out meanwhile.
 func TestHeldStateIsLetGoAfterASilentWriter(t *testing.T) {
-	d, rel := core(t, 9)
-	now := time.Now()
-	d.clock = func() time.Time { return now }
+	d, rel, pass := clocked(t)
 	_, p := take(d, "a", "safe")
 	end(d, p, logic.ReadDone)
 	p.sent[1].tell.Written()
-	now = now.Add(300 * time.Millisecond)
-	d.ring()
+	pass(300 * time.Millisecond)
 	if len(*rel) > 0 {
 		t.Fatalf("released %v while the writer may come for it", *rel)
 	}
@@ -62,8 +68,7 @@
 	if len(p.sent) != 3 {
 		t.Fatalf("%d sends", len(p.sent))
 	}
-	now = now.Add(300 * time.Millisecond) // the attempt is connecting all the while
-	d.ring()
+	pass(300 * time.Millisecond) // the attempt is connecting all the while
 	if len(*rel) == 0 {
 		t.Error("nothing was released")
 	}
@@ -72,16 +77,13 @@
 // Guards: what a read may have left, whose connection broke just as it ended, was let go only with the request. While further attempts
 // can't connect, nobody comes for it.
 func TestWhatABrokenReadLeftIsLetGoInTime(t *testing.T) {
-	d, rel := core(t, 9)
-	now := time.Now()
-	d.clock = func() time.Time { return now }
+	d, rel, pass := clocked(t)
 	k, p := take(d, "a", "safe")
 	end(d, p, logic.ConnectionLost)
 	if len(p.sent) != 2 {
 		t.Fatalf("%d sends", len(p.sent))
 	}
-	now = now.Add(300 * time.Millisecond) // of the 500 that a state may be held; the second read is connecting all the while
-	d.ring()
+	pass(300 * time.Millisecond) // of the 500 that a state may be held; the second read is connecting all the while
 	if len(*rel) == 0 {
 		t.Error("nothing was released")
 	}
@@ -90,14 +92,11 @@
 
 // A read that is out at its replica keeps what an earlier one left from being pinned, and is not disturbed.
 func TestReadThatIsOutIsNotReleased(t *testing.T) {
-	d, rel := core(t, 9)
-	now := time.Now()
-	d.clock = func() time.Time { return now }
+	d, rel, pass := clocked(t)
 	_, p := take(d, "a", "safe")
 	end(d, p, logic.ConnectionLost)
 	p.sent[1].tell.Written()
-	now = now.Add(300 * time.Millisecond)
-	d.ring()
+	pass(300 * time.Millisecond)
 	if len(*rel) > 0 {
 		t.Errorf("released %v", *rel)
 	}
@@ -106,9 +105,7 @@
 // Guards: the program ended while what was held had still to be let go: at the end of an attempt whose client had its answer already, and
 // once more a moment after that.
 func TestNothingIsIdleWhileSomethingIsHeld(t *testing.T) {
-	d, rel := core(t, 9)
-	now := time.Now()
-	d.clock = func() time.Time { return now }
+	d, rel, pass := clocked(t)
 	idle := func() bool { d.Phases.mu.Lock(); defer d.Phases.mu.Unlock(); return d.Phases.open == 0 }
 	k, p := take(d, "a", "safe")
 	k.Leave()
@@ -125,8 +122,7 @@
 	if first == 0 || idle() {
 		t.Errorf("released %d times, idle %v", first, idle())
 	}
-	now = now.Add(looseAgain)
-	d.ring()
+	pass(looseAgain)
 	if len(*rel) == first || !idle() {
 		t.Errorf("released %d times, idle %v", len(*rel), idle())
 	}
