Hear the one holder that knows of an instruction, whoever answers nothing before it

Cause: Count.Known (internal/ledger/holder.go) was unclear as soon as a majority could not answer, though what forbids a repeat counts whoever says it. The client heard 503, try again, in place of 424. Change: all are heard, within the limit of the call, before it is unclear.

--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -160,13 +160,13 @@
 func (c *Count) Enough() bool { return c.granted+c.denied >= Majority(c.n) }
 
 // Known is the verdict on a Look: Yes once a majority that is whole has said what it knows. What forbids a repeat counts
-// whoever says it.
+// whoever says it, so all are heard before it is unclear.
 func (c *Count) Known() Verdict {
 	need := Majority(c.n)
 	switch {
 	case c.whole >= need || !c.Entry.MaySend():
 		return Yes
-	case c.granted+c.denied+c.failed == c.n || c.failed > c.n-need:
+	case c.Heard():
 		return Unclear
 	}
 	return Open
