--- a/cmd/standpulley/door_test.go
+++ b/cmd/standpulley/door_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -34,12 +32,7 @@
 // withDoor writes a configuration with a door and gives the environment to start the program with.
 func withDoor(t *testing.T, agent, addr, door string) []string {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n0","seed":"1","listen":%q,"discovery":%q,"settings":%s}`, addr, agent, settings)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return []string{"EDGE_CONFIG=" + path, "EDGE_OPERATOR=" + door}
+	return append(configure(t, filepath.Join(t.TempDir(), "config.json"), addr, agent, settings, ""), "EDGE_OPERATOR="+door)
 }
 
 func ready(door string) func() bool {
--- a/cmd/standpulley/main_test.go
+++ b/cmd/standpulley/main_test.go
@@ -93,12 +93,8 @@
 	t.Helper()
 	var list []standin.Entry
 	for kind, act := range map[string]func(*standin.Exchange){"reader": func(x *standin.Exchange) { x.Read(0) }, "writer": write} {
-		r, err := standin.Start("127.0.0.1:0", act)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(r.Close)
-		list = append(list, standin.Entry{ID: kind, Addr: r.Addr, Zone: "z", Kind: kind, State: "in_service", Weight: 1})
+		_, e := replicaOf(t, kind, kind, act)
+		list = append(list, e)
 	}
 	return list
 }
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -149,10 +149,7 @@
 		}
 		return a.ID < b.ID
 	})
-	addrs := d.oneOfEachZone(all)
-	if i := slices.Index(addrs, holder); i >= 0 {
-		addrs = slices.Delete(addrs, i, i+1)
-	}
+	addrs := slices.DeleteFunc(d.oneOfEachZone(all), func(addr string) bool { return addr == holder })
 	if holder != "" {
 		addrs = slices.Insert(addrs, 0, holder)
 	}
