Bound the sum of a silent watch and one call more below the 6 s after which a change is told

Change: watches wait 2 s, 1 s at an agent to which lists are pushed, which answers at no cost; silence is known 0.3 to 1 s after that; a call may take 2.2 s, a pause 2.25 s at most. Ruled out: a pause cut to what is left of the time, as all that were turned away together would come back together.

--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -123,6 +123,38 @@
 	}
 }
 
+// Guards: a call that went wrong behind a watch that had fallen silent put the two bounds one behind the other, some 9 s. Whatever goes wrong
+// with the one call, the next is answered before what the watch missed counts as told.
+func TestSilentWatchAndOneCallMoreAreWithinTheTime(t *testing.T) {
+	t.Parallel()
+	for name, wrong := range map[string]func(call){
+		"not answered": func(call) {},
+		"turned away":  func(c call) { c.say("503 Service Unavailable", "") },
+		"reset":        func(c call) { _ = c.conn.(*net.TCPConn).SetLinger(0); _ = c.conn.Close() },
+		"spoilt":       func(c call) { c.say("200 OK", `{"version":`) },
+	} {
+		for _, pushed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, pushed %v", name, pushed), func(t *testing.T) {
+				t.Parallel()
+				s := script(t)
+				told := watch(t, &discovery.Watcher{Addr: s.addr, Siblings: 300, Pushed: pushed})
+				s.next(t).answer(1, "in_service")
+				<-told
+				s.next(t) // the watch, on which nothing more is said
+				silent := time.Now()
+				wrong(s.next(t))
+				s.next(t).answer(2, "terminating")
+				if u := <-told; u.Servers[0].Availability != logic.Draining {
+					t.Errorf("told %+v", u)
+				}
+				if took := time.Since(silent); took > countsAsTold {
+					t.Errorf("told %v after the watch fell silent", took)
+				}
+			})
+		}
+	}
+}
+
 // Guards: where lists are pushed, what the agent gets when discovery returns counts as told in that moment, and calls that it left without
 // an answer were waited for up to 4 s. It is asked so often that a drain is kept.
 func TestReturnOfAPushedAgentIsFound(t *testing.T) {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -18,27 +18,28 @@
 )
 
 // What discovery has counts as told 6 s after it had it and could be reached, whatever calls failed, were refused or were given up
-// before (the standing test's page), and a drain that is told of has a second more. So each way in which the list may be missed is
-// bounded below that, from the moment at which discovery answers again to the next call that it answers:
+// before (the standing test's page), and a drain that is told of has a second more. So the sum is bounded below that, from the moment in
+// which a watch falls silent, through one further call that goes wrong in any way, to the next one that is answered:
 //
-//	a watch that has fallen silent   watchWait + silentMost
-//	a call that is not answered      dialLimit + replyLimit + reconnectAfter
-//	a call that is turned away       backoffMost
+//	a watch that has fallen silent   the wait + silentMost + reconnectAfter + dialLimit
+//	a call that is not answered      replyLimit + reconnectAfter + dialLimit
+//	a call that is turned away       backoffMost + dialLimit
 //
 // All dispatchers may lose discovery at one moment; where they share a service, what follows is drawn for each.
 const (
-	watchWait   = 3 * time.Second
-	silentLeast = 500 * time.Millisecond // after the wait's end a watch without an answer is broken: from this ...
-	silentMost  = 1500 * time.Millisecond
-	replyLimit  = 4 * time.Second // for a call that does not wait, at a service whose callers wait in turn
-	// Where lists are pushed the agent answers at once, and what it gets when discovery returns is told in that moment.
+	watchWait   = 2 * time.Second
+	silentLeast = 300 * time.Millisecond // after the wait's end a watch without an answer is broken: from this ...
+	silentMost  = time.Second
+	replyLimit  = 2200 * time.Millisecond // for a call that does not wait, at a service whose callers wait in turn
+	// Where lists are pushed the agent answers at once and at no cost, and what it gets when discovery returns is told in that moment.
+	agentWait  = time.Second
 	agentLimit = 600 * time.Millisecond
 	dialLimit  = 250 * time.Millisecond
 	maxList    = 4 << 20
 
 	reconnectAfter = 50 * time.Millisecond   // after a broken connection: a watch goes on only if the next call comes within 200 ms
 	backoffEach    = 100 * time.Millisecond  // for each dispatcher that asks the same service, after it turned a call away
-	backoffMost    = 4500 * time.Millisecond // to this the pause doubles
+	backoffMost    = 2250 * time.Millisecond // to this the pause doubles
 )
 
 // Watcher follows the agent at Addr and hands each list to Tell. Behind the agents of all dispatchers stands one service:
@@ -77,7 +78,7 @@
 		case missed:
 			path += fmt.Sprintf("?index=%d&wait=0", w.index)
 		default:
-			path += fmt.Sprintf("?index=%d&wait=%d", w.index, watchWait.Milliseconds())
+			path += fmt.Sprintf("?index=%d&wait=%d", w.index, w.wait().Milliseconds())
 			limit = w.silence()
 		}
 		list, err := w.call(path, limit)
@@ -114,9 +115,17 @@
 	return replyLimit
 }
 
+// wait is how long a watch waits for news.
+func (w *Watcher) wait() time.Duration {
+	if w.Pushed {
+		return agentWait
+	}
+	return watchWait
+}
+
 // silence draws how long a watch may take before it counts as silent.
 func (w *Watcher) silence() time.Duration {
-	return watchWait + silentLeast + rand.N(silentMost-silentLeast)
+	return w.wait() + silentLeast + rand.N(silentMost-silentLeast)
 }
 
 // backoff draws the pause after a call that was turned away, as were so many before it in a row: from half of the time to
