Send no instruction's read again that was given up: the end of its connection may never come

Lines at fault: logic.attemptEnded took a read that was given up for over, dispatch.mayRepeat and refusable likewise. Mend: such a read counts as an attempt that may be out. At most once: no further attempt, no refusal; it is not given up by choice, as that frees nothing, and ends with the deadline, an answer, or the other side's end of the connection. Keyed: group and window bind.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -27,7 +27,8 @@
 	reached  atomic.Int64     // attempts whose last byte was written
 	holder   string           // address of the reader that holds what the last read left, or may; empty: nothing is held
 	loose    bool             // a read ended without a word on what it left behind
-	ranSince time.Time        // when the first attempt that may have run was sent
+	unheard  bool             // a read was given up, and goes on if its replica could not hear of that
+	ranSince time.Time        // when the first attempt that may have run, or may be out yet, was sent
 }
 
 const (
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -39,13 +39,14 @@
 		if at.dropped && at.stream == nil {
 			out = logic.Cancelled
 		}
+		if !r.ran && !r.unheard {
+			r.ranSince = at.sentAt
+		}
 		if at.role == logic.Reader {
 			// A read may have ended well just as its connection was closed or broke.
 			r.loose, r.holder = true, at.addr
+			r.unheard = r.unheard || out == logic.Cancelled || out == logic.TimedOut
 		} else {
-			if !r.ran {
-				r.ranSince = at.sentAt
-			}
 			r.ran = true
 		}
 	}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -88,12 +88,12 @@
 }
 
 // refusable tells whether trying again is harmless: the request runs as often as it likes, all replicas throw its repeats away, or it is
-// proven that it has not run. What is out proves nothing yet, not even at a reader.
+// proven that it has not run. What is out proves nothing yet, not even at a reader, nor does a read that was given up.
 func (r *request) refusable() bool {
 	if r.class == nil || r.class.Repeat == logic.Safe || r.class.Repeat == logic.Keyed && r.class.Scope == logic.AllServers {
 		return true
 	}
-	return !r.mayRun() && !r.away()
+	return !r.mayRun() && !r.away() && !r.unheard
 }
 
 // mayRun tells whether any attempt has run, or may have, or may yet. The rest of a stream is asked for after one ran.
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -46,12 +46,13 @@
 }
 
 // mayRepeat holds the rule on repeats: a request that must not run twice goes out again only when every earlier
-// attempt is proven never to have run, and none is out.
+// attempt is proven never to have run, and none is out. What was given up proves neither, at a reader either: the close of its connection
+// does not come to a machine that is cut off.
 func (d *Dispatcher) mayRepeat(r *request) bool {
 	if r.sent > d.set.MaxAttempts {
 		return false
 	}
-	return r.class.Repeat != logic.Unsafe && !(d.licence != nil && d.licence.Once()) || len(r.out) == 0 && !r.ran
+	return r.class.Repeat != logic.Unsafe && !(d.licence != nil && d.licence.Once()) || len(r.out) == 0 && !r.ran && !r.unheard
 }
 
 // cancel gives an attempt up, unless its stream belongs to the client already.
--- a/internal/fleetmodel/client.go
+++ b/internal/fleetmodel/client.go
@@ -25,7 +25,7 @@
 			{Name: "instruction", Aim: 2500 * time.Millisecond, AimPer1K: 40 * time.Millisecond, TokenAim: 80 * time.Millisecond,
 				Deadline: 10 * time.Second, LateWorth: 0.3, Worth: 2, Repeat: logic.Unsafe},
 		},
-		CanCancel: true, MaxAttempts: 6, CrossZone: 0.028, MaxRetryAfter: 2 * time.Second, ReleaseWithin: 500 * time.Millisecond,
+		CanCancel: true, CancelEnds: true, MaxAttempts: 6, CrossZone: 0.028, MaxRetryAfter: 2 * time.Second, ReleaseWithin: 500 * time.Millisecond,
 		ColdFrom: 0.27, RampTime: 14 * time.Second, FallMultiple: 2.5, FallTime: 3 * time.Second,
 		DrainGrace: time.Second, AnswerSlack: 16 * time.Millisecond, ConnIdle: 30 * time.Second, ConnectTimeout: 250 * time.Millisecond,
 		Resume: true,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -406,6 +406,7 @@
 	if m.Settings, err = config.Settings(val); errors.As(err, &fault) {
 		f.fail(fault.Key, fault.Text)
 	}
+	m.Settings.CancelEnds = true // here each attempt that was called off is told of as such
 }
 
 func (r *Reader) arrived(f *fields, m *Message) {
--- a/logic/api.go
+++ b/logic/api.go
@@ -78,6 +78,7 @@
 	OverShareWorth float64       // worth of what exceeds a tenant's share, as a fraction
 	ReadInPlace    bool          // a writer without a state reads the prompt itself
 	CanCancel      bool          // Cancel is allowed
+	CancelEnds     bool          // what was given up is over; else its read may go on, as the end of a connection may not come to the server
 	ListOnRequest  bool          // the list of servers comes only after Watch or Fetch
 	MaxAttempts    int           // sends for a request, at most
 	CrossZone      float64       // price of an attempt in another zone, as a share of a request's worth
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -723,7 +723,7 @@
 func (l *Router) send(r *request, s *server, p phase, expected float64) {
 	until := r.deadline
 	half := (r.deadline - l.now) / 2
-	if r.attempts+1 < l.set.MaxAttempts && (p == reading || r.class.Repeat == Safe) &&
+	if r.attempts+1 < l.set.MaxAttempts && (r.class.Repeat == Safe || p == reading && (r.class.Repeat == Keyed || l.set.CancelEnds)) &&
 		half.Seconds() > l.patience(expected) {
 		until = l.now + half
 	}
@@ -790,8 +790,9 @@
 		s.report, s.reportAt, s.sentTok = *ev.Report, l.now, 0
 	}
 	l.judge(r, s, was, ev)
-	if was == writing && (ev.Outcome == ServerError || ev.Outcome == TimedOut || ev.Outcome == ConnectionLost ||
-		ev.Outcome == Cancelled) && r.ranAt == nil {
+	gaveUp := ev.Outcome == TimedOut || ev.Outcome == Cancelled
+	if r.ranAt == nil && (was == writing && (gaveUp || ev.Outcome == ServerError || ev.Outcome == ConnectionLost) ||
+		gaveUp && !l.set.CancelEnds && r.class.Repeat != Safe) { // its read may go on
 		r.ranAt, r.ranSince = s, r.sentAt
 	}
 	r.phase = parked
@@ -881,7 +882,7 @@
 		l.failed(s)
 	}
 	if !l.set.CanCancel || l.retries < 1 || r.attempts >= l.set.MaxAttempts ||
-		r.phase == writing && r.class.Repeat != Safe {
+		r.class.Repeat != Safe && (r.phase == writing || r.class.Repeat == Unsafe && !l.set.CancelEnds) {
 		return
 	}
 	l.retries--
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -224,8 +224,9 @@
 	if p.out != server || p.attempts != attempt || p.streaming && ev.Outcome != Delivered && ev.Outcome != ConnectionLost {
 		return
 	}
-	ranPossible := p.role != Reader && (ev.Outcome == ServerError || ev.Outcome == TimedOut ||
-		ev.Outcome == ConnectionLost || ev.Outcome == Cancelled)
+	gaveUp := ev.Outcome == TimedOut || ev.Outcome == Cancelled
+	ranPossible := p.role != Reader && (gaveUp || ev.Outcome == ServerError || ev.Outcome == ConnectionLost) ||
+		gaveUp && !w.set.CancelEnds // nothing shows that a read is over: the end of its connection may never come there
 	if ranPossible && p.ranAt == nil {
 		p.ranAt, p.ranSince = w.entry(server), p.sentAt
 	}
@@ -368,6 +369,7 @@
 		"only writers":    func(s *Settings) { s.Kinds[0].Role, s.ReadInPlace = Writer, true },
 		"only readers":    func(s *Settings) { s.Kinds[1].Role, s.Kinds[2].Role = Reader, Reader },
 		"no cancel":       func(s *Settings) { s.CanCancel = false },
+		"cancel ends":     func(s *Settings) { s.CancelEnds, s.Classes[0].Repeat = true, Unsafe },
 		"one attempt":     func(s *Settings) { s.MaxAttempts = 1 },
 		"one router":      func(s *Settings) { s.Siblings = 1 },
 		"tenants":         func(s *Settings) { s.Tenants = []Tenant{{"t", 5}} },
--- a/logic/state.go
+++ b/logic/state.go
@@ -39,7 +39,7 @@
 	ahead     float64 // unread tokens found at the reader when sent
 	unread    int64   // tokens counted into the reader's unread
 	held      float64 // tokens counted into the writer's memory
-	ranAt     *server // an attempt that may have run
+	ranAt     *server // an attempt that may have run, or may be out yet
 	ranSince  time.Duration
 	avoid     []*server
 }
