Close connections of clients that are sent away with a lingering close, too

Need, by reading: where operators send clients away while an answer is on its way, its connection was closed in the same moment by the gate, over whatever had come meanwhile: a reset, and the answer with it. TestAnswerToWhoIsSentAwayIsNotReset on the sources before: reset after 467 bytes. Change: the gate says that the connection is to end, and it ends in the one place that lingers, Conn.Close.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -316,8 +316,8 @@
 			}
 		},
 		ConnState: func(c net.Conn, s fasthttp.ConnState) {
-			if c, ok := c.(*Conn); ok && (s == fasthttp.StateActive || s == fasthttp.StateIdle) {
-				c.rest(s == fasthttp.StateActive)
+			if c, ok := c.(*Conn); ok && (s == fasthttp.StateActive || s == fasthttp.StateIdle) && c.rest(s == fasthttp.StateActive) {
+				_ = c.Close() // the server finds out
 			}
 		},
 		Concurrency: maxConns, StreamRequestBody: true, MaxRequestBodySize: bodyAhead, ReadTimeout: readTimeout,
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -171,19 +171,20 @@
 	return !c.gone && c.began
 }
 
-// rest puts it back as the one that has waited the least; began tells that a request has begun to come.
-func (c *Conn) rest(began bool) {
+// rest puts it back as the one that has waited the least; began tells that a request has begun to come. It tells whether the connection is
+// to end, as clients are sent away: its answer may have begun before it could say that it is the last. Then Close is owed.
+func (c *Conn) rest(began bool) (ends bool) {
 	g := c.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch {
-	case c.gone:
-	case g.away && !began: // its answer may have begun before it could say that it is the last
-		g.leave(c)
-	default:
-		c.wait()
+	if c.gone {
+		return false
+	}
+	c.wait()
+	if ends = g.away && !began; !ends {
 		c.began = began
 	}
+	return ends
 }
 
 // wait puts a connection behind all that wait. The gate is locked.
--- a/internal/front/platform/leaving_test.go
+++ b/internal/front/platform/leaving_test.go
@@ -117,6 +117,34 @@
 	}
 }
 
+// Guards: where operators had sent clients away while an answer was on its way, its connection was closed right behind it over what had come
+// meanwhile, and the answer was reset.
+func TestAnswerToWhoIsSentAwayIsNotReset(t *testing.T) {
+	for range 10 {
+		goOn := make(chan bool)
+		rig := fronttest.Start(t, fronttest.Read, func(x *standin.Exchange) { <-goOn; serve(x) })
+		gate := front.NewGate(fronttest.GateMost, fronttest.GateBytes)
+		port, err := front.Listen("127.0.0.1:0", gate, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		server, ln := New(rig.Core, rig.Pool, fronttest.Settings(), nil).Server(), port.Attach()
+		go func() { _ = server.Serve(ln) }() // ends with the port
+		t.Cleanup(func() { port.Finish(0) })
+		c := send(t, port.Addr(), raw("enquiry", "3000m")+strings.Repeat("more than is read ", 4<<10))
+		fronttest.Wait(t, "the send to the writer", func() bool { return rig.Runs() == 1 })
+		gate.SendAway(true)
+		close(goOn)
+		fronttest.Wait(t, "the answer", func() bool { return rig.Verdicts(dispatch.Served) == 1 })
+		time.Sleep(5 * time.Millisecond) // any order of reading and closing must do
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		text, err := io.ReadAll(c)
+		if err != nil || !strings.HasSuffix(string(text), "0\r\n\r\n") {
+			t.Fatalf("%v after %d bytes", err, len(text))
+		}
+	}
+}
+
 // A request that keeps coming, a little at a time, has its time like any other: an answer is owed within 3 s of connecting.
 func TestRequestThatKeepsComingIsAnsweredInTime(t *testing.T) {
 	_, addr := start(t, fronttest.Read, serve)
