Have the stack before follow the new discovery while it finishes what it took

Need, by reading: SIGHUP with another address for clients, or another chat API, takes a new stack; the one before went on by the list of the old discovery, which closes, until its requests had ended (seconds): sends to who leaves, told by the new discovery alone. Change: stack.follow. Shown: TestDrainReachesTheStackBefore fails on the sources before (the list never comes to the stack before).

--- a/cmd/standpulley/ending_test.go
+++ b/cmd/standpulley/ending_test.go
@@ -251,6 +251,45 @@
 	}
 }
 
+// Guards: where SIGHUP brings another address for clients too, what the stack before had taken was finished by the list that it had, as its
+// discovery said nothing more. The new discovery alone tells of a drain; requests that wait at the reader meanwhile don't go to who leaves.
+func TestDrainReachesTheStackBefore(t *testing.T) {
+	const requests = 20
+	came, goOn := make(chan bool, requests), make(chan bool)
+	_, r := replicaOf(t, "reader", "reader", func(x *standin.Exchange) {
+		came <- true
+		<-goOn
+		x.Read(0)
+	})
+	leaving, l := replicaOf(t, "leaving", "writer", func(x *standin.Exchange) { x.Answer("leaving") })
+	_, s := replicaOf(t, "staying", "writer", func(x *standin.Exchange) { x.Answer("staying") })
+	old, addr, path := agentOf(t, r, l, s), freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	cmd, out := start(t, configure(t, path, addr, old.Addr, settings, ""))
+	wait(t, "a ready program", func() bool { return strings.Contains(out.String(), "n0: ready") })
+	var open []net.Conn
+	for n := range requests {
+		open = append(open, ask(t, addr, n+1))
+		<-came
+	}
+	old.Mute(true)
+	l.State = "terminating"
+	next := agentOf(t, r, l, s)
+	configure(t, path, freeAddr(t), next.Addr, settings, "")
+	signalTo(t, cmd, syscall.SIGHUP)
+	wait(t, "the list of the new discovery, at both stacks", func() bool {
+		return strings.Count(out.String(), "list: leaving writer "+l.Addr+" zone z cell 0 is draining") >= 2
+	})
+	close(goOn)
+	for n, c := range open {
+		if status, text, err := statusOf(t, c); err != nil || status != 200 || !strings.Contains(text, "staying") {
+			t.Errorf("request %d: %d %q %v", n+1, status, text, err)
+		}
+	}
+	if n := len(leaving.Calls("POST")); n != 0 {
+		t.Errorf("%d sends to who leaves", n)
+	}
+}
+
 // Idle clients take every descriptor that they may have, under a limit of the machine's own. Discovery, replicas and the operators' door keep
 // theirs: a drain is heard of, a request is served, the door answers, and nothing spins.
 func TestIdleClientsLeaveDescriptorsForOthers(t *testing.T) {
--- a/internal/program/force.go
+++ b/internal/program/force.go
@@ -106,6 +106,9 @@
 	if err := before.core.Phases.Enter(dispatch.Leaving); err != nil {
 		return err
 	}
+	if p.lists() == nil {
+		before.follow(cfg)
+	}
 	p.old.Add(1)
 	go func() {
 		defer p.old.Done()
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -155,6 +155,17 @@
 	go w.Run(ctx)
 }
 
+// follow has a stack that finishes what it took hear of replicas where the configuration that has taken its place does: the discovery
+// before may say nothing more.
+func (s *stack) follow(cfg config.Config) {
+	if s.cfg.Discovery == cfg.Discovery && cfg.Discovery != "" {
+		return
+	}
+	own := s.cfg
+	own.Discovery, own.Known = cfg.Discovery, cfg.Known
+	s.watch(own)
+}
+
 // reads starts or stops the watch of discovery, where somebody else may do it for this dispatcher.
 func (s *stack) reads(yes bool) {
 	if yes {
