Take what the machine has accepted before the address closes

Need: at the end the accepting stopped by its deadline, and connections that waited in the machine's queue at that instant, with requests on them, were reset as the address closed. Until now this had no test. Change: after the time for further ones, what waits is taken until none has come for 20 ms (200 ms at most). Shown: TestWhatTheMachineAcceptedIsTakenAtTheEnd: 0 of 20 taken on the source before.

--- a/internal/front/port.go
+++ b/internal/front/port.go
@@ -60,18 +60,39 @@
 	return l
 }
 
+const (
+	// At the end the machine may have accepted connections that nobody has taken yet, with requests on them: closing the address would
+	// reset them. So they are taken until none has come for a moment, but no longer than a time.
+	lastMoment = 20 * time.Millisecond
+	lastMost   = 200 * time.Millisecond
+)
+
 func (p *Port) accept() {
 	defer close(p.done)
+	var last time.Time // to take what waits at the end; zero before
 	for {
 		c, err := p.tcp.Accept()
 		p.mu.Lock()
 		l, gone := p.to, p.gone
 		p.mu.Unlock()
+		if err != nil && !gone {
+			time.Sleep(5 * time.Millisecond) // out of descriptors, most likely: others will be closed
+			continue
+		}
+		if err != nil && !last.IsZero() {
+			return
+		}
 		if err != nil {
-			if gone {
-				return
+			last = time.Now().Add(lastMost)
+		}
+		if !last.IsZero() {
+			moment := time.Now().Add(lastMoment)
+			if last.Before(moment) {
+				moment = last
 			}
-			time.Sleep(5 * time.Millisecond) // out of descriptors, most likely: others will be closed
+			_ = p.tcp.SetDeadline(moment) // if it fails, so does the next Accept
+		}
+		if err != nil {
 			continue
 		}
 		conn := p.gate.enter(c)
@@ -91,7 +112,7 @@
 	}
 }
 
-// Finish accepts for wait longer what the machine has accepted already, and then closes the address.
+// Finish accepts for wait longer, then what the machine has accepted by then, and closes the address.
 func (p *Port) Finish(wait time.Duration) {
 	p.mu.Lock()
 	p.gone = true
@@ -101,7 +122,7 @@
 	if attached != nil {
 		select {
 		case <-p.done:
-		case <-time.After(wait + time.Second):
+		case <-time.After(max(wait, 0) + time.Second):
 		}
 		attached.Close()
 	}
--- /dev/null
+++ b/internal/front/port_test.go
@@ -0,0 +1,50 @@
+package front_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"standpulley/internal/front"
+)
+
+// Guards: connections that the machine had accepted, and nobody had taken yet, were reset when the address was closed. Here all wait in the
+// machine's queue as the end begins, with the time for further ones over.
+func TestWhatTheMachineAcceptedIsTakenAtTheEnd(t *testing.T) {
+	const waiting = 20
+	for _, wait := range []time.Duration{-time.Second, 0, 10 * time.Millisecond} {
+		port, err := front.Listen("127.0.0.1:0", front.NewGate(2*waiting, 1<<20), false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range waiting {
+			c, err := net.Dial("tcp", port.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = c.Close() })
+		}
+		ln := port.Attach()
+		taken := make(chan int)
+		go func() {
+			n := 0
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					taken <- n
+					return
+				}
+				n++
+				_ = c.Close()
+			}
+		}()
+		port.Finish(wait)
+		if n := <-taken; n != waiting {
+			t.Errorf("wait %v: %d of %d connections are taken", wait, n, waiting)
+		}
+		if c, err := net.Dial("tcp", port.Addr()); err == nil {
+			_ = c.Close()
+			t.Errorf("wait %v: the address is open", wait)
+		}
+	}
+}
