--- a/internal/proving/judge.go
+++ b/internal/proving/judge.go
@@ -28,7 +28,8 @@
 	Customer   string
 	Once       bool // must not run twice
 	Sent, Done time.Duration
-	Status     int // 0: the connection ended without an answer
+	Status     int   // 0: the connection ended without an answer ...
+	Why        error // ... for this reason, as the client saw it
 	Mark       string
 	Whole      bool
 }
@@ -195,7 +196,7 @@
 		case r.down(a):
 			j.Unheard++
 		default:
-			find("lost", "%s at %s, sent at %v, ended at %v without an answer", a.ID, a.Who, a.Sent, a.Done)
+			find("lost", "%s at %s, sent at %v, ended at %v without an answer: %v", a.ID, a.Who, a.Sent, a.Done, a.Why)
 		}
 		if a.Status == 200 && !a.Whole && !r.down(a) {
 			find("lost", "%s at %s: a stream was cut", a.ID, a.Who)
--- a/internal/proving/traffic.go
+++ b/internal/proving/traffic.go
@@ -209,7 +209,7 @@
 	}
 	a.Sent = t.now()
 	resp, err := t.client.Do(req)
-	if err == nil {
+	if a.Why = err; err == nil {
 		a.Status, a.Mark = resp.StatusCode, resp.Header.Get("X-Settings")
 		text, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
