Notice clients that leave behind more than is read ahead

Need: the watch of a client reads 16 KiB behind its request, and a client that had sent more and left was noticed only when it was written to: attempts went on. Mend: behind that the machine is asked (poll, POLLRDHUP) each 40 ms; nothing more is kept in memory. Shown: TestClientLeavesBehindItsNextRequest with 200 requests behind the first fails on the source before (waited in vain for: close). Limit: what is more than the machine's own buffer keeps the end from coming there at all. Ruled out: reading on and throwing away what came, as requests that a client sent on a kept connection would be lost.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"standpulley/internal/dispatch"
 )
@@ -36,10 +37,10 @@
 const (
 	lingerTime = time.Second
 	lingerMost = 4 << 20
-	// So much of what a client sends behind its request is read to find out whether it leaves. One that sends more at once is seen to
-	// leave when it is written to.
+	// So much of what a client sends behind its request is read to find out whether it leaves. Behind more than that the machine is asked.
 	aheadMost = 16 << 10
 	aheadStep = 512
+	lookEvery = 40 * time.Millisecond // a client that has left is noticed within 100
 )
 
 // Close ends the connection. What was just answered has to reach the client, so it is told of the end first, and what it still sends is
@@ -110,7 +111,25 @@
 			return end
 		}
 	}
-	return false
+	return c.hungUp()
+}
+
+// hungUp tells whether the machine has heard that the client has ended the connection, whatever it sent before that and is not read yet.
+func (c *Conn) hungUp() (end bool) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	_ = raw.Control(func(fd uintptr) {
+		ask := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(ask, 0)
+		end = err == nil && n > 0 && ask[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return end
 }
 
 // room gives space behind what was read ahead.
@@ -132,22 +151,35 @@
 // Watch calls gone once if the client ends the connection before stop is called. Nothing else may read the
 // connection in between. After stop has returned, gone is not called any more.
 func (c *Conn) Watch(gone func()) (stop func()) {
-	done := make(chan struct{})
-	var mu sync.Mutex
-	stopped := false
+	done, stopped := make(chan struct{}), make(chan struct{})
+	var mu sync.Mutex                       // held while it is found out whether it is too late
 	_ = c.Conn.SetReadDeadline(time.Time{}) // the server's, for the request that has been read
 	go func() {
 		defer close(done)
-		for len(c.ahead) < aheadMost {
-			n, err := c.Conn.Read(c.room())
-			c.ahead = c.ahead[:len(c.ahead)+n]
+		for {
+			left := false
+			if len(c.ahead) < aheadMost {
+				n, err := c.Conn.Read(c.room())
+				c.ahead = c.ahead[:len(c.ahead)+n]
+				left = err != nil
+			} else if left = c.hungUp(); !left {
+				select {
+				case <-stopped:
+				case <-time.After(lookEvery):
+				}
+			}
 			mu.Lock()
-			if err != nil && !stopped {
+			select {
+			case <-stopped:
+				mu.Unlock()
+				return
+			default:
+			}
+			if left {
 				gone()
 			}
-			over := err != nil || stopped
 			mu.Unlock()
-			if over {
+			if left {
 				return
 			}
 		}
@@ -156,7 +188,7 @@
 	return func() {
 		once.Do(func() {
 			mu.Lock()
-			stopped = true
+			close(stopped)
 			mu.Unlock()
 			_ = c.Conn.SetReadDeadline(time.Now().Add(-time.Second)) // wakes the read
 			<-done
--- a/internal/front/platform/leaving_test.go
+++ b/internal/front/platform/leaving_test.go
@@ -22,11 +22,12 @@
 	"reset":      func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() },
 }
 
-// Guards: with a byte of its next request already there, a client that left was not noticed until its request's end, and attempts went on.
-// It leaves while it waits for its first attempt's answer, behind the first byte of a further request or the whole of it.
+// Guards: with a byte of its next request already there, a client that left was not noticed until its request's end, and attempts went on;
+// later, with more than is read ahead. It leaves while it waits for its first attempt's answer, behind the first byte of a further request,
+// the whole of it, or many.
 func TestClientLeavesBehindItsNextRequest(t *testing.T) {
 	for name, end := range ends {
-		for _, behind := range []string{"", "P", raw("enquiry", "3000m"), strings.Repeat(raw("enquiry", "3000m"), 8)} {
+		for _, behind := range []string{"", "P", raw("enquiry", "3000m"), strings.Repeat(raw("enquiry", "3000m"), 8), strings.Repeat(raw("enquiry", "3000m"), 200)} {
 			rig, addr := start(t, func(x *standin.Exchange) { x.Gone() }, serve)
 			c := send(t, addr, raw("enquiry", "3000m"))
 			fronttest.Wait(t, "the send to the reader", func() bool { return len(rig.Reader.Calls("POST")) == 1 })
