Begin from the known list where lists are asked for, and ask what has changed of it

Traced by logging each call (a trial): all 32 dispatchers asked for the whole list at 0.01 s and opened a watch at 0.02 s; the one service answers some 8 calls a second that carry lines, 29 watches were turned away at once, 16 of them twice, so the lists came until 6.2 s. A watch that is open is told within 0.1 s and costs nothing. Lines at fault: discovery.Watcher.Run began with the whole list though the configuration brings the list as it was, with its version. Mend: where lists are asked for, a start asks what has changed since that version. Where they are pushed the agent answers at no cost, and the whole list stays. The first answer is told also where nothing has changed, so that readiness does not wait for it. Tests: TestWhoKnowsAListAsksWhatHasChanged (the field is new, so it does not build on the sources before).

--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -192,6 +192,31 @@
 	}
 }
 
+// Guards: where lists are asked for, each of many dispatchers asked for the whole list as it started, at one service that answers by the
+// line: it turned away the watches that followed, and drains came too late. Who knows a list asks what has changed of it, and is told also
+// that nothing has.
+func TestWhoKnowsAListAsksWhatHasChanged(t *testing.T) {
+	t.Parallel()
+	s, version := script(t), int64(7)
+	told := watch(t, &discovery.Watcher{Addr: s.addr, Siblings: 300, Known: &version})
+	c := s.next(t)
+	if c.query != "index=7&wait=0" {
+		t.Errorf("asked %q", c.query)
+	}
+	c.say("503 Service Unavailable", "")
+	if c = s.next(t); c.query != "index=7&wait=0" {
+		t.Errorf("asked %q after it was turned away", c.query)
+	}
+	c.say("200 OK", `{"version":7,"full":false,"servers":[]}`)
+	if u := <-told; u.Full || len(u.Servers) > 0 {
+		t.Errorf("told %+v", u)
+	}
+	s.next(t).answer(9, "terminating")
+	if u := <-told; u.Servers[0].Availability != logic.Draining {
+		t.Errorf("told %+v", u)
+	}
+}
+
 // A list comes indented, in pieces and late, whole and lacking an entry, and from a version that has gone back: each is told as it is, and
 // the next call goes on from what was told last.
 func TestListsInEveryForm(t *testing.T) {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -50,6 +50,7 @@
 	Addr     string
 	Siblings int
 	Pushed   bool         // lists are pushed to the agent, which answers by itself
+	Known    *int64       // version of the list that is known already; nil: none
 	Kinds    []logic.Kind // those that lists may name
 	Tell     func(dispatch.Update)
 	Heard    func(bool) // after each call, whether it was answered; may be nil
@@ -64,13 +65,17 @@
 // errAnswer tells that the agent can be reached, but its answer is of no use.
 var errAnswer = errors.New("no list")
 
-// Run watches until ctx ends. It begins with the whole list, as what is known may be old. After a call that failed it asks for what
-// it missed before it waits again: a call that waits would tell only by the end of its wait that nobody hears it.
+// Run watches until ctx ends. It begins with the whole list, or with what has changed of the one that is known, and tells of the first
+// answer also where nothing has. After a call that failed it asks for what it missed before it waits again: a call that waits would tell
+// only by the end of its wait that nobody hears it.
 func (w *Watcher) Run(ctx context.Context) {
 	defer w.hangUp()
 	stop := context.AfterFunc(ctx, w.hangUp)
 	defer stop()
-	whole, missed, away := true, true, 0
+	whole, missed, first, away := w.Known == nil, true, true, 0
+	if !whole {
+		w.index = *w.Known
+	}
 	for ctx.Err() == nil {
 		path, limit := "/api/targets", w.replyLimit()
 		switch {
@@ -100,10 +105,10 @@
 			continue
 		}
 		away = 0
-		if list.Full || len(list.Servers) > 0 {
+		if list.Full || len(list.Servers) > 0 || first {
 			w.Tell(list.Update())
 		}
-		w.index, whole, missed = list.Version, false, false
+		w.index, whole, missed, first = list.Version, false, false, false
 	}
 }
 
--- a/internal/program/force.go
+++ b/internal/program/force.go
@@ -54,13 +54,17 @@
 		return nil
 	}
 	known, wait := cfg.Known.Update(), firstList
+	var at *int64
+	if before == nil && cfg.Settings.ListOnRequest && len(cfg.Known.Servers) > 0 {
+		at = &cfg.Known.Version // a whole list costs the service that all ask as much as it has lines
+	}
 	if before != nil && cfg.Discovery != "" {
 		known, wait = before.core.List(), 0
 	}
 	if p.lists() != nil {
-		known = dispatch.Update{} // what is known counts when it is agreed on
+		known, at = dispatch.Update{}, nil // what is known counts when it is agreed on
 	}
-	next, err := newStack(cfg, known, p.pool, &p.counts, p.licence, p.lists(), p.keeper())
+	next, err := newStack(cfg, known, at, p.pool, &p.counts, p.licence, p.lists(), p.keeper())
 	if err != nil {
 		return err
 	}
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -39,14 +39,16 @@
 	ctx      context.Context // ends with the stack
 	cancel   context.CancelFunc
 	unwatch  context.CancelFunc // ends the watches of discovery
+	known    *int64             // version of the list with which the first of them begins; nil: it asks for the whole
 	telling  sync.Mutex         // held by the watch that tells
 	lists    *lists             // nil where each dispatcher goes by its own register
 }
 
-// newStack makes a stack that knows the replicas of a list and is not yet open to clients.
-func newStack(cfg config.Config, known dispatch.Update, pool *replica.Pool, counts *dispatch.Counts, licence dispatch.Licence, l *lists, k *bookkeeping.Keeper) (*stack, error) {
+// newStack makes a stack that knows the replicas of a list, whose version at its discovery is at, if it came from there. It is not yet open
+// to clients.
+func newStack(cfg config.Config, known dispatch.Update, at *int64, pool *replica.Pool, counts *dispatch.Counts, licence dispatch.Licence, l *lists, k *bookkeeping.Keeper) (*stack, error) {
 	s := &stack{cfg: cfg, releaser: replica.NewReleaser(pool), fronts: map[string]*fasthttp.Server{}, heard: make(chan struct{}, 1),
-		unwatch: func() {}, lists: l}
+		unwatch: func() {}, lists: l, known: at}
 	var err error
 	s.core, err = dispatch.New(cfg.Settings, cfg.Seed, known, s.releaser, bounds(cfg.Limits))
 	if err != nil {
@@ -148,7 +150,8 @@
 		return
 	}
 	time.AfterFunc(handOver, before)
-	w := &discovery.Watcher{Addr: cfg.Discovery, Siblings: cfg.Settings.Siblings, Pushed: !cfg.Settings.ListOnRequest, Kinds: cfg.Settings.Kinds, Tell: tell}
+	w := &discovery.Watcher{Addr: cfg.Discovery, Siblings: cfg.Settings.Siblings, Pushed: !cfg.Settings.ListOnRequest, Known: s.known, Kinds: cfg.Settings.Kinds, Tell: tell}
+	s.known = nil
 	if s.lists != nil {
 		w.Heard = s.lists.heard
 	}
