Take a writer's word that it has read for an answer that proves nothing

Need, by reading: 202, which a reader says when it has read, counted as proof that nothing ran whoever said it; from a writer it is a spoilt answer, and what must not run twice was sent again. Shown: TestWhatRunsIsCountedAtTheReplicas fails on the source before (two sends).

--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -35,6 +35,9 @@
 	r := at.r
 	delete(r.out, at.n)
 	out := res.Outcome
+	if out == logic.ReadDone && at.role != logic.Reader {
+		out = logic.ServerError // only a reader can say that nothing but a read was done
+	}
 	if !neverRan(out) {
 		if at.dropped && at.stream == nil {
 			out = logic.Cancelled
--- a/internal/front/platform/effects_test.go
+++ b/internal/front/platform/effects_test.go
@@ -35,6 +35,7 @@
 		{"enquiry", breaks, []int{200}, 2, 2},
 		{"instruction", breaks, []int{502}, 1, 1},
 		{"instruction", full, []int{200}, 2, 2},
+		{"instruction", fronttest.Read, []int{502}, 1, 1}, // a writer that answers as a reader does
 		{"all", breaks, []int{200}, 2, 2},
 		{"cell", breaks, []int{200, 502}, 2, 1},
 		{"short", breaks, []int{503}, 1, 1},
