--- a/internal/fleetmodel/client.go
+++ b/internal/fleetmodel/client.go
@@ -14,10 +14,31 @@
 	writerLoad = 0.55
 )
 
-// settings are those of a site of two classes: one that may be repeated and one that may not.
+// Site is a deployment: its settings, and how the clients of each of its classes behave.
+type Site struct {
+	settings func() logic.Settings
+	classes  []class
+}
+
+// site gives the day's deployment, the first one where it names none.
+func (d Day) site() Site {
+	if d.Site.settings == nil {
+		return firstSite
+	}
+	return d.Site
+}
+
+// settings are those of the day's deployment with its number of routers.
 func settings(day Day) logic.Settings {
+	set := day.site().settings()
+	set.Siblings = day.Routers
+	return set
+}
+
+// firstSite has two classes: one that may be repeated and one that may not.
+var firstSite = Site{settings: func() logic.Settings {
 	return logic.Settings{
-		Siblings: day.Routers, Kinds: []logic.Kind{{Name: "reader", Role: logic.Reader, MemoryTokens: 215000},
+		Kinds: []logic.Kind{{Name: "reader", Role: logic.Reader, MemoryTokens: 215000},
 			{Name: "writer", Role: logic.Writer, MemoryTokens: 150000}},
 		Classes: []logic.Class{
 			{Name: "enquiry", Aim: 1500 * time.Millisecond, AimPer1K: 40 * time.Millisecond, TokenAim: 60 * time.Millisecond,
@@ -30,7 +51,31 @@
 		DrainGrace: time.Second, AnswerSlack: 16 * time.Millisecond, ConnIdle: 30 * time.Second, ConnectTimeout: 250 * time.Millisecond,
 		Resume: true,
 	}
-}
+}, classes: []class{
+	{0.56, 2.8, 6, 420, 160, 500, 14, 1100, 3800, 0.88},
+	{0.44, 5.5, 2.8, 500, 100, 400, 4, 2600, 7700, 0.79},
+}}
+
+// SecondSite has three: short questions, changes that replicas throw away when they are repeated, and claims that must not run twice. Its
+// deadlines are shorter, its replicas colder and sooner pushed over, its prompts longer.
+var SecondSite = Site{settings: func() logic.Settings {
+	set := firstSite.settings()
+	set.Classes = []logic.Class{
+		{Name: "question", Aim: 900 * time.Millisecond, AimPer1K: 50 * time.Millisecond, TokenAim: 55 * time.Millisecond,
+			Deadline: 3500 * time.Millisecond, LateWorth: 0.2, Worth: 1},
+		{Name: "change", Aim: 1800 * time.Millisecond, AimPer1K: 60 * time.Millisecond, TokenAim: 70 * time.Millisecond,
+			Deadline: 7 * time.Second, LateWorth: 0.4, Worth: 3, Repeat: logic.Keyed, Scope: logic.SameZone, Window: 2500 * time.Millisecond},
+		{Name: "claim", Aim: 2600 * time.Millisecond, AimPer1K: 80 * time.Millisecond, TokenAim: 80 * time.Millisecond,
+			Deadline: 9 * time.Second, LateWorth: 0.3, Worth: 4, Repeat: logic.Unsafe},
+	}
+	set.MaxAttempts, set.CrossZone, set.MaxRetryAfter, set.ReleaseWithin = 4, 0.05, 800*time.Millisecond, 400*time.Millisecond
+	set.FallMultiple, set.ConnIdle = 2, 12*time.Second
+	return set
+}, classes: []class{
+	{0.55, 1.6, 8, 300, 90, 300, 20, 400, 2200, 0.7},
+	{0.27, 3.2, 4, 700, 140, 500, 6, 1800, 5200, 0.85},
+	{0.18, 4.5, 3, 900, 110, 400, 3, 3000, 9000, 0.9},
+}}
 
 // text is an opening that sessions share.
 type text struct {
@@ -47,13 +92,8 @@
 	shared                       float64 // part of the sessions that begin with one
 }
 
-var classes = []class{
-	{0.56, 2.8, 6, 420, 160, 500, 14, 1100, 3800, 0.88},
-	{0.44, 5.5, 2.8, 500, 100, 400, 4, 2600, 7700, 0.79},
-}
-
 func (m *Model) drawTexts() {
-	for _, c := range classes {
+	for _, c := range m.classes {
 		n := int(c.openings * float64(m.day.Readers+m.day.Writers) / 10)
 		var all []text
 		var weights []float64
@@ -110,7 +150,7 @@
 // arrivals has sessions begin so that requests come at the day's rate, from its first second on.
 func (m *Model) arrivals() {
 	turns := 0.0
-	for _, c := range classes {
+	for _, c := range m.classes {
 		turns += c.share / c.turns
 	}
 	var begin func()
@@ -126,12 +166,15 @@
 }
 
 func (m *Model) open() {
-	shares := []float64{classes[0].share / classes[0].turns, classes[1].share / classes[1].turns}
+	var shares []float64
+	for _, c := range m.classes {
+		shares = append(shares, c.share/c.turns)
+	}
 	m.turn(m.begin(m.pick(shares)))
 }
 
 func (m *Model) begin(ci int) *talk {
-	c := classes[ci]
+	c := m.classes[ci]
 	t := &talk{class: ci, key: m.rnd.Uint64() | 1, left: 1, zone: m.rnd.IntN(m.day.Zones)}
 	for m.rnd.Float64() > 1/c.turns {
 		t.left++
@@ -148,7 +191,7 @@
 	if m.now-start >= m.day.Length {
 		return
 	}
-	c := classes[t.class]
+	c := m.classes[t.class]
 	t.left--
 	t.prompt += c.newTokens * (0.4 + 0.6*m.rnd.ExpFloat64())
 	q := &ask{talk: t, first: m.now, session: t.key, shared: t.text.key, opening: t.text.tokens, prompt: t.prompt,
@@ -184,7 +227,7 @@
 		}
 		p.handle(&logic.Event{Kind: logic.Arrived, RequestID: q.id, Request: logic.Request{Class: set.Name, Session: q.session,
 			Prefix: q.shared, PrefixTokens: int64(q.opening), PromptTokens: int64(q.prompt),
-			MaxOutput: int64(classes[q.talk.class].maxOut), Remaining: deadline}})
+			MaxOutput: int64(m.classes[q.talk.class].maxOut), Remaining: deadline}})
 	})
 }
 
@@ -228,6 +271,6 @@
 
 func (m *Model) on(t *talk) {
 	if t.left > 0 {
-		m.after(seconds(classes[t.class].think*m.rnd.ExpFloat64()), func() { m.turn(t) })
+		m.after(seconds(m.classes[t.class].think*m.rnd.ExpFloat64()), func() { m.turn(t) })
 	}
 }
--- a/internal/fleetmodel/model.go
+++ b/internal/fleetmodel/model.go
@@ -17,6 +17,7 @@
 // Day is what a run plays. Times are from its start.
 type Day struct {
 	Name    string
+	Site    Site // none: the first
 	Routers int
 	Readers int
 	Writers int
@@ -63,6 +64,7 @@
 	queue   events
 	order   uint64
 	set     logic.Settings
+	classes []class
 	fleet   []*replica
 	byID    map[string]*replica
 	routers []*router
@@ -116,7 +118,7 @@
 // Run plays a day and reports on it.
 func Run(day Day, seed uint64) (Report, error) {
 	m := &Model{day: day, rnd: rand.New(rand.NewPCG(seed, 0x5eed)), now: start - prelude, byID: map[string]*replica{}}
-	m.set = settings(day)
+	m.set, m.classes = settings(day), day.site().classes
 	m.report = newReport(m)
 	for i := range day.Readers + day.Writers {
 		role := logic.Writer
--- a/internal/fleetmodel/throng_test.go
+++ b/internal/fleetmodel/throng_test.go
@@ -6,13 +6,16 @@
 )
 
 // What all routers together send a cold server, one that is new or has come back, stays under what the settings allow it and chance may add,
-// counted at the server: with three routers, twenty and thirty, some of which get several times the mean, under a burst.
+// counted at the server: with three routers, twenty and thirty, some of which get several times the mean, under a burst, at two sites.
 func TestColdServersUnderAThrong(t *testing.T) {
-	for _, routers := range []int{3, 20, 30} {
-		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+	for _, c := range []struct {
+		day   Day
+		seeds uint64
+	}{{Throng(3), 4}, {Throng(20), 4}, {Throng(30), 4}, {second(Throng(3)), 2}, {second(Throng(20)), 2}, {second(Throng(30)), 2}} {
+		t.Run(fmt.Sprintf("%s/%d", c.day.Name, c.day.Routers), func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(4) {
-				r := play(t, Throng(routers), seed+1)
+			for seed := range c.seeds {
+				r := play(t, c.day, seed+1)
 				if r.Fall >= 1 {
 					t.Errorf("seed %d: a cold server was sent %.2f of what it bears, with chance (%.2f without):\n%s", seed+1, r.Fall, r.Pressure, r.String())
 				}
