--- /dev/null
+++ b/internal/dispatch/retune_test.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"standpulley/logic"
+)
+
+// retune puts settings in force that differ in what change does to the classes.
+func retune(t *testing.T, d *Dispatcher, change func(*logic.Settings)) {
+	t.Helper()
+	set := d.set
+	set.Classes = append([]logic.Class(nil), d.set.Classes...)
+	change(&set)
+	q := retuning{set, Bounds{9, 100}, nil, make(chan error, 1)}
+	q.apply(d)
+	if err := <-q.reply; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A request that is open keeps the effect, the window and the deadline of its class as it came, whatever a new configuration says of the
+// class, also where that no longer has it. Limits hold from now on.
+func TestOpenRequestsKeepTheirClass(t *testing.T) {
+	for name, c := range map[string]struct {
+		class  string
+		change func(*logic.Settings)
+		again  bool // a further attempt after one at a writer that may have run
+	}{
+		"at most once becomes harmless": {"unsafe", func(s *logic.Settings) { s.Classes[1].Repeat = logic.Safe }, false},
+		"harmless becomes at most once": {"safe", func(s *logic.Settings) { s.Classes[0].Repeat = logic.Unsafe }, true},
+		"the class is gone":             {"unsafe", func(s *logic.Settings) { s.Classes = s.Classes[:1] }, false},
+		"a shorter deadline":            {"safe", func(s *logic.Settings) { s.Classes[0].Deadline = time.Millisecond }, true},
+		"no further attempts":           {"safe", func(s *logic.Settings) { s.MaxAttempts = 2 }, false},
+	} {
+		d, _, pass := clocked(t)
+		k, p := take(d, "a", c.class)
+		end(d, p, logic.ReadDone)
+		sent := len(p.sent)
+		retune(t, d, c.change)
+		pass(100 * time.Millisecond)
+		none(t, k) // its time goes on
+		end(d, p, logic.ConnectionLost)
+		if again := len(p.sent) > sent; again != c.again {
+			t.Errorf("%s: a further attempt: %v", name, again)
+		}
+		if c.again {
+			none(t, k)
+		} else if a := answerOf(t, k); a.Verdict == Served || a.Verdict == Refused && c.class == "unsafe" {
+			t.Errorf("%s: %v", name, a.Verdict)
+		}
+	}
+}
+
+// The window for repeats of a request that is open is the one that it came under, longer or shorter than the one in force since.
+func TestOpenRequestsKeepTheirWindow(t *testing.T) {
+	for _, windows := range [][2]time.Duration{{30 * time.Second, time.Hour}, {time.Hour, 30 * time.Second}} {
+		d := keyedCore(t, logic.AllServers, windows[0])
+		_, p := take(d, "a", "keyed")
+		end(d, p, logic.ReadDone)
+		retune(t, d, func(s *logic.Settings) { s.Classes[0].Window = windows[1] })
+		end(d, p, logic.ServerError) // it may have run
+		r := d.requests["a"]
+		r.ranSince = r.ranSince.Add(-time.Minute)
+		if open := d.leave(r, d.servers["w1"])() == nil; open != (windows[0] > time.Minute) {
+			t.Errorf("windows %v: open a minute later: %v", windows, open)
+		}
+	}
+}
