--- a/internal/front/platform/slow_test.go
+++ b/internal/front/platform/slow_test.go
@@ -59,3 +59,39 @@
 		t.Error(lines.Err())
 	}
 }
+
+// A client that takes nothing for writeTimeout has gone: its stream is ended, its replica hears of it, and its place is free.
+func TestClientThatTakesNothingHasGone(t *testing.T) {
+	t.Parallel()
+	gone, full := make(chan bool), make(chan bool, 1)
+	rig, addr := start(t, fronttest.Read, func(x *standin.Exchange) {
+		x.Head()
+		for {
+			select {
+			case full <- true:
+			default:
+			}
+			if _, err := x.Conn.Write([]byte("4\r\n:x\n\n\r\n")); err != nil { // a comment, which keeps a stream alive
+				close(gone)
+				return
+			}
+			x.Token(strings.Repeat("x", 8<<10))
+		}
+	})
+	send(t, addr, raw("enquiry", "3000m")) // and reads nothing
+	<-full
+	select {
+	case <-gone:
+	case <-time.After(60 * time.Second): // of the 15 that it has
+		t.Fatal("the stream goes on")
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		f, _ := rig.Core.Figures()
+		if f.Open == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d requests are open", f.Open)
+		}
+	}
+}
