--- a/internal/proving/fleet.go
+++ b/internal/proving/fleet.go
@@ -194,9 +194,12 @@
 	return string(text), err
 }
 
+// logOf is the file of a dispatcher's log.
+func (f *Fleet) logOf(d *Dispatcher) string { return filepath.Join(f.folder, d.Name+".log") }
+
 // Start starts a dispatcher.
 func (f *Fleet) Start(d *Dispatcher) error {
-	log, err := os.OpenFile(filepath.Join(f.folder, d.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(f.logOf(d), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/internal/proving/judge.go
+++ b/internal/proving/judge.go
@@ -32,6 +32,9 @@
 	Why        error // ... for this reason, as the client saw it
 	Mark       string
 	Whole      bool
+	Unread     string // id of a sending before it, whose connection had ended before the dispatcher read it
+
+	connected bool
 }
 
 // Version is what the voters say of one in the end.
@@ -49,7 +52,8 @@
 	Alone    string
 	Acts     []Act
 	Asked    []Asked
-	Runs     map[string]int // of writers, by request
+	Read     map[string]bool // ids that dispatchers took, by their logs
+	Runs     map[string]int  // of writers, by request
 	Drains   []*Drained
 	Cold     []Cold
 	Orders   []Order
@@ -186,6 +190,9 @@
 	j.Coldest = r.judgeCold(find).Part
 	j.Acts = len(acts)
 	for _, a := range r.Asked {
+		if a.Unread != "" && r.Read[a.Unread] && !r.down(a) {
+			find("lost", "%s at %s was taken, and its connection ended without an answer", a.Unread, a.Who)
+		}
 		switch {
 		case a.Status == 200 && a.Whole:
 			j.Served++
--- a/internal/proving/play.go
+++ b/internal/proving/play.go
@@ -1,6 +1,7 @@
 package proving
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -320,8 +321,33 @@
 	return late
 }
 
+// read gives the ids of requests, of those that were sent once more, that a dispatcher's log tells of.
+func (p *play) read() map[string]bool {
+	read := map[string]bool{}
+	for _, a := range p.t.asked {
+		if a.Unread != "" {
+			read[a.Unread] = false
+		}
+	}
+	if len(read) == 0 {
+		return read
+	}
+	for _, d := range p.f.List {
+		text, err := os.ReadFile(p.f.logOf(d))
+		if err != nil {
+			p.fault("%v", err)
+		}
+		for word := range bytes.FieldsSeq(text) {
+			if _, asked := read[string(word)]; asked {
+				read[string(word)] = true
+			}
+		}
+	}
+	return read
+}
+
 func (p *play) record() Record {
-	r := Record{Within: length(p.s.Within), Alone: p.s.Alone, Acts: p.t.acts, Asked: p.t.asked, Runs: p.t.runs, Drains: p.drains, Cold: p.cold, Downs: p.f.downs, Wrong: p.wrong}
+	r := Record{Read: p.read(), Within: length(p.s.Within), Alone: p.s.Alone, Acts: p.t.acts, Asked: p.t.asked, Runs: p.t.runs, Drains: p.drains, Cold: p.cold, Downs: p.f.downs, Wrong: p.wrong}
 	for _, d := range p.f.List {
 		if view, err := p.view(d); err == nil {
 			for _, v := range view.Book.Versions {
--- a/internal/proving/traffic.go
+++ b/internal/proving/traffic.go
@@ -1,9 +1,13 @@
 package proving
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,6 +32,7 @@
 	list     []standin.Entry
 	spare    []standin.Entry
 	client   *http.Client
+	fresh    *http.Client // that keeps no connection
 	open     sync.WaitGroup
 	stop     chan struct{}
 }
@@ -43,7 +48,7 @@
 )
 
 func newTraffic() (*traffic, error) {
-	t := &traffic{runs: map[string]int{}, stop: make(chan struct{}),
+	t := &traffic{runs: map[string]int{}, stop: make(chan struct{}), fresh: &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 		client: &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Second}}}
 	for i := range readers + writers + spares {
 		kind, play := "reader", t.read
@@ -187,8 +192,28 @@
 	return t.send(d, Asked{Who: d.Name, ID: id, Customer: customer, Once: n%2 == 1}, "", `"`+id+`"`) // words of its own
 }
 
-// send sends it, with the key that names an instruction, if any.
+// send sends it, with the key that names an instruction, if any. As the protocol page says of clients, one whose connection ends before the
+// dispatcher has read its request sends it once more, on a new connection. Who was so slow to say something that the dispatcher had closed
+// by then finds just that. What the dispatcher has read it must answer: the second sending has an id of its own, so that record can tell.
 func (t *traffic) send(d *Dispatcher, a Asked, key, body string) Asked {
+	first, a := a, t.sendOnce(t.client, d, a, key, body)
+	var slow net.Error
+	if a.Status != 0 || a.Why == nil || !a.connected || errors.As(a.Why, &slow) && slow.Timeout() || t.came(a.ID) {
+		return a
+	}
+	again := first
+	again.ID, again.Unread = first.ID+"r", first.ID
+	return t.sendOnce(t.fresh, d, again, key, body)
+}
+
+// came tells whether an attempt of a request has come to a replica.
+func (t *traffic) came(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.acts, func(a Act) bool { return a.ID == id })
+}
+
+func (t *traffic) sendOnce(client *http.Client, d *Dispatcher, a Asked, key, body string) Asked {
 	req, err := http.NewRequest(http.MethodPost, "http://"+d.Listen+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		return a // the address is one of ours
@@ -207,15 +232,17 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
+	var connected atomic.Bool
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}))
 	a.Sent = t.now()
-	resp, err := t.client.Do(req)
+	resp, err := client.Do(req)
 	if a.Why = err; err == nil {
 		a.Status, a.Mark = resp.StatusCode, resp.Header.Get("X-Settings")
 		text, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		a.Whole = err == nil && strings.HasSuffix(string(text), "[DONE]\n\n")
 	}
-	a.Done = t.now()
+	a.Done, a.connected = t.now(), connected.Load()
 	return a
 }
 
