--- a/internal/proving/play.go
+++ b/internal/proving/play.go
@@ -209,6 +209,11 @@
 	case doLose:
 		p.f.Signal(d, syscall.SIGKILL)
 		err = os.Remove(agreement.Path(string(d.dir)))
+	case doAway:
+		err = os.Rename(agreement.Path(string(d.dir)), agreement.Path(string(d.dir))+".away")
+	case doBack:
+		p.f.Signal(d, syscall.SIGKILL)
+		err = os.Rename(agreement.Path(string(d.dir))+".away", agreement.Path(string(d.dir)))
 	case doRefound:
 		err = p.refound(d)
 	case doReplace:
@@ -287,6 +292,9 @@
 				}
 			}
 		}
+		if slices.Contains(p.s.Astray, o.Name) {
+			return o.LeaseMS == 0
+		}
 		if slices.Contains(p.s.Picky, o.Name) && o.Unfit != nil && o.LeaseMS == 0 {
 			return true // the version came into force while it had no lease; it can't act on it, and does not
 		}
--- a/internal/proving/script.go
+++ b/internal/proving/script.go
@@ -51,6 +51,8 @@
 	Apart  bool   `toml:"apart,omitempty"`  // with Lists: no agreement at all, each goes by its own register
 	// Dispatchers that turn down what moves services.*.name away from "instruction", as their own file needs it.
 	Picky []string `toml:"picky,omitempty"`
+	// Voters that come back in the end with the log of a cluster that was given up: they may never act again.
+	Astray []string `toml:"astray,omitempty"`
 }
 
 // Step is one thing that happens. Dispatchers are v1, v2, ... and o1, o2, ...; "leader" is the voter that leads, "*" all.
@@ -80,6 +82,8 @@
 	doCont     = "cont"
 	doTerm     = "term"
 	doLose     = "lose"     // kills it and takes its disk away
+	doAway     = "away"     // takes its disk away; it does not run
+	doBack     = "back"     // kills it and puts that disk in the place of what it has by now
 	doRefound  = "refound"  // makes a new cluster at Who of what all folders still know; nobody runs
 	doReplace  = "replace"  // starts it with an empty disk, to which its seat is given on
 	doPropose  = "propose"  // at Who
@@ -99,7 +103,7 @@
 
 var known = map[string]bool{doCut: true, doMend: true, doDelay: true, doThrottle: true, doReset: true, doKill: true, doStart: true, doStop: true,
 	doCont: true, doTerm: true, doLose: true, doRefound: true, doReplace: true, doPropose: true, doRollback: true, doHup: true, doExpect: true,
-	doRegister: true, doCrowd: true, doList: true, doForget: true, doCopy: true, doRestore: true, doDisk: true, doAccept: true}
+	doRegister: true, doCrowd: true, doList: true, doForget: true, doCopy: true, doRestore: true, doDisk: true, doAccept: true, doAway: true, doBack: true}
 
 // Parse reads a script and checks it.
 func Parse(text []byte) (Script, error) {
