Open a watch again that was turned away, without a call before it

Need: after a watch was turned away two calls followed, one that does not wait and the watch; a service that has no time for one answers a watch at once if there is news. Shown: TestWatchThatIsTurnedAwayIsOpenedAgain fails on the source before (index=1&wait=0 in between). A silent watch is still followed by a call that does not wait.

--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -192,6 +192,21 @@
 	}
 }
 
+// Guards: a watch that was turned away was followed by a call that does not wait, and a watch after it: two calls at a service that had no
+// time for one.
+func TestWatchThatIsTurnedAwayIsOpenedAgain(t *testing.T) {
+	t.Parallel()
+	s := script(t)
+	told := watch(t, &discovery.Watcher{Addr: s.addr, Siblings: 3})
+	s.next(t).answer(1, "in_service")
+	<-told
+	first := s.next(t)
+	first.say("503 Service Unavailable", "")
+	if again := s.next(t); again.query != first.query || !strings.HasPrefix(again.query, "index=1&wait=") {
+		t.Errorf("asked %q, then %q", first.query, again.query)
+	}
+}
+
 // Guards: where lists are asked for, each of many dispatchers asked for the whole list as it started, at one service that answers by the
 // line: it turned away the watches that followed, and drains came too late. Who knows a list asks what has changed of it, and is told also
 // that nothing has.
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -66,8 +66,8 @@
 var errAnswer = errors.New("no list")
 
 // Run watches until ctx ends. It begins with the whole list, or with what has changed of the one that is known, and tells of the first
-// answer also where nothing has. After a call that failed it asks for what it missed before it waits again: a call that waits would tell
-// only by the end of its wait that nobody hears it.
+// answer also where nothing has. After a call that nobody answered it asks for what it missed before it waits again: a call that waits
+// would tell only by the end of its wait that nobody hears it.
 func (w *Watcher) Run(ctx context.Context) {
 	defer w.hangUp()
 	stop := context.AfterFunc(ctx, w.hangUp)
@@ -96,11 +96,12 @@
 			}
 			w.hangUp()
 			wait := reconnectAfter
-			if errors.Is(err, errAnswer) {
+			if errors.Is(err, errAnswer) { // it is there, and answers a watch at once if there is news: one call is enough
 				wait = w.backoff(away)
 				away++
+			} else {
+				missed = true
 			}
-			missed = true
 			pause(ctx, wait)
 			continue
 		}
