Hold what was derived twice in one place: doubts of attempts, looks at descriptors, the last accepts

After reading the change once more; behaviour as before. request.unsure stands for two flags that were asked together in four places; Conn.look for two ways to a descriptor; Port.accept has a loop for its time and one for what waits at the end, and hand for both; the watch derives whether it asks for the whole list; sums of places are looked up and no longer kept at servers; a client's connection is no part of the judge's record.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -72,14 +72,14 @@
 	defer w.hangUp()
 	stop := context.AfterFunc(ctx, w.hangUp)
 	defer stop()
-	whole, missed, first, away := w.Known == nil, true, true, 0
-	if !whole {
+	missed, first, away := true, true, 0
+	if w.Known != nil {
 		w.index = *w.Known
 	}
 	for ctx.Err() == nil {
 		path, limit := "/api/targets", w.replyLimit()
 		switch {
-		case whole:
+		case first && w.Known == nil: // the whole list
 		case missed:
 			path += fmt.Sprintf("?index=%d&wait=0", w.index)
 		default:
@@ -109,7 +109,7 @@
 		if list.Full || len(list.Servers) > 0 || first {
 			w.Tell(list.Update())
 		}
-		w.index, whole, missed, first = list.Version, false, false, false
+		w.index, missed, first = list.Version, false, false
 	}
 }
 
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -42,7 +42,7 @@
 		if at.dropped && at.stream == nil {
 			out = logic.Cancelled
 		}
-		if !r.ran && !r.unheard {
+		if !r.unsure() {
 			r.ranSince = at.sentAt
 		}
 		if at.role == logic.Reader {
@@ -123,7 +123,8 @@
 		delete(d.requests, r.id)
 		d.size -= r.size
 		r.parcel = nil // its timers still know the request for a while, and must not keep its body
-		if r.loose {   // also behind an answer: the read may end on its replica after the fetch that let go of all the rest
+		// Also behind an answer: the read may end on its replica after the fetch that let go of all the rest.
+		if r.loose {
 			d.release(r.id, r.holder)
 			// The read may end on its replica a moment after the first call has come there.
 			d.Phases.begin()
--- a/internal/dispatch/licence.go
+++ b/internal/dispatch/licence.go
@@ -71,9 +71,9 @@
 // attempt was routed goes with a list that may be newer than the one it was routed by; as that list is acted on before the lease is
 // renewed, the lease is asked first. Where replicas throw repeats away they do so only for a time, which connecting takes from.
 func (d *Dispatcher) leave(r *request, s *Server) func() error {
-	lic, once, again := d.licence, r.class.Repeat == logic.Unsafe, r.ran || r.unheard || len(r.out) > 1 || r.ask.Resumed
+	lic, once, again := d.licence, r.class.Repeat == logic.Unsafe, r.unsure() || len(r.out) > 1 || r.ask.Resumed
 	var closes time.Time
-	if (r.ran || r.unheard) && r.class.Repeat == logic.Keyed {
+	if r.unsure() && r.class.Repeat == logic.Keyed {
 		closes = r.ranSince.Add(r.class.Window)
 	}
 	return func() error {
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -96,6 +96,9 @@
 	return !r.mayRun() && !r.away() && !r.unheard
 }
 
+// unsure tells whether an attempt that has ended may have run, or may be out yet.
+func (r *request) unsure() bool { return r.ran || r.unheard }
+
 // mayRun tells whether any attempt has run, or may have, or may yet. The rest of a stream is asked for after one ran.
 func (r *request) mayRun() bool {
 	if r.ask.Resumed {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -52,7 +52,7 @@
 	if r.sent > d.set.MaxAttempts {
 		return false
 	}
-	return r.class.Repeat != logic.Unsafe && !(d.licence != nil && d.licence.Once()) || len(r.out) == 0 && !r.ran && !r.unheard
+	return r.class.Repeat != logic.Unsafe && !(d.licence != nil && d.licence.Once()) || len(r.out) == 0 && !r.unsure()
 }
 
 // cancel gives an attempt up, unless its stream belongs to the client already.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -84,20 +84,27 @@
 	return n, err
 }
 
-// arrived reads what has come already, without waiting. It tells whether the client has ended the connection.
-func (c *Conn) arrived(p []byte) (n int, end bool) {
+// look lets a client's descriptor be looked at, without waiting. It tells whether that, or the descriptor itself, shows that the client has
+// ended the connection.
+func (c *Conn) look(ended func(fd int) bool) (end bool) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return 0, false
+		return false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return 0, true
+		return true
 	}
-	_ = raw.Control(func(fd uintptr) {
+	_ = raw.Control(func(fd uintptr) { end = ended(int(fd)) })
+	return end
+}
+
+// arrived reads what has come already, without waiting. It tells whether the client has ended the connection.
+func (c *Conn) arrived(p []byte) (n int, end bool) {
+	end = c.look(func(fd int) bool {
 		var err error
-		n, _, err = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
-		end = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+		n, _, err = syscall.Recvfrom(fd, p, syscall.MSG_DONTWAIT)
+		return n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
 	})
 	return max(n, 0), end
 }
@@ -115,21 +122,12 @@
 }
 
 // hungUp tells whether the machine has heard that the client has ended the connection, whatever it sent before that and is not read yet.
-func (c *Conn) hungUp() (end bool) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	_ = raw.Control(func(fd uintptr) {
+func (c *Conn) hungUp() bool {
+	return c.look(func(fd int) bool {
 		ask := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(ask, 0)
-		end = err == nil && n > 0 && ask[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		return err == nil && n > 0 && ask[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
-	return end
 }
 
 // room gives space behind what was read ahead.
--- a/internal/front/port.go
+++ b/internal/front/port.go
@@ -69,46 +69,53 @@
 
 func (p *Port) accept() {
 	defer close(p.done)
-	var last time.Time // to take what waits at the end; zero before
 	for {
 		c, err := p.tcp.Accept()
-		p.mu.Lock()
-		l, gone := p.to, p.gone
-		p.mu.Unlock()
-		if err != nil && !gone {
-			time.Sleep(5 * time.Millisecond) // out of descriptors, most likely: others will be closed
+		if err == nil {
+			p.hand(c)
 			continue
 		}
-		if err != nil && !last.IsZero() {
-			return
-		}
-		if err != nil {
-			last = time.Now().Add(lastMost)
+		p.mu.Lock()
+		gone := p.gone
+		p.mu.Unlock()
+		if gone {
+			break
 		}
-		if !last.IsZero() {
-			moment := time.Now().Add(lastMoment)
-			if last.Before(moment) {
-				moment = last
-			}
-			_ = p.tcp.SetDeadline(moment) // if it fails, so does the next Accept
+		time.Sleep(5 * time.Millisecond) // out of descriptors, most likely: others will be closed
+	}
+	for last := time.Now().Add(lastMost); ; {
+		moment := time.Now().Add(lastMoment)
+		if last.Before(moment) {
+			moment = last
 		}
+		_ = p.tcp.SetDeadline(moment) // if it fails, so does the next Accept
+		c, err := p.tcp.Accept()
 		if err != nil {
-			continue
+			return
 		}
-		conn := p.gate.enter(c)
-		if conn == nil {
-			continue
+		p.hand(c)
+	}
+}
+
+// hand gives a connection that passes the gate to the Listener that is attached.
+func (p *Port) hand(c net.Conn) {
+	conn := p.gate.enter(c)
+	if conn == nil {
+		return
+	}
+	var before *Listener
+	for {
+		p.mu.Lock()
+		l := p.to
+		p.mu.Unlock()
+		if l == before {
+			_ = conn.Close() // the program is at its end
+			return
 		}
-		for !l.give(conn) { // it has ended since: another is attached
-			p.mu.Lock()
-			before := l
-			l = p.to
-			p.mu.Unlock()
-			if l == before {
-				_ = conn.Close() // the program is at its end
-				break
-			}
+		if l.give(conn) {
+			return
 		}
+		before = l // it has ended since: another is attached
 	}
 }
 
--- a/internal/proving/judge.go
+++ b/internal/proving/judge.go
@@ -33,8 +33,6 @@
 	Mark       string
 	Whole      bool
 	Unread     string // id of a sending before it, whose connection had ended before the dispatcher read it
-
-	connected bool
 }
 
 // Version is what the voters say of one in the end.
--- a/internal/proving/traffic.go
+++ b/internal/proving/traffic.go
@@ -196,14 +196,16 @@
 // dispatcher has read its request sends it once more, on a new connection. Who was so slow to say something that the dispatcher had closed
 // by then finds just that. What the dispatcher has read it must answer: the second sending has an id of its own, so that record can tell.
 func (t *traffic) send(d *Dispatcher, a Asked, key, body string) Asked {
-	first, a := a, t.sendOnce(t.client, d, a, key, body)
+	first := a
+	a, connected := t.sendOnce(t.client, d, a, key, body)
 	var slow net.Error
-	if a.Status != 0 || a.Why == nil || !a.connected || errors.As(a.Why, &slow) && slow.Timeout() || t.came(a.ID) {
+	if a.Status != 0 || a.Why == nil || !connected || errors.As(a.Why, &slow) && slow.Timeout() || t.came(a.ID) {
 		return a
 	}
 	again := first
 	again.ID, again.Unread = first.ID+"r", first.ID
-	return t.sendOnce(t.fresh, d, again, key, body)
+	a, _ = t.sendOnce(t.fresh, d, again, key, body)
+	return a
 }
 
 // came tells whether an attempt of a request has come to a replica.
@@ -213,10 +215,11 @@
 	return slices.ContainsFunc(t.acts, func(a Act) bool { return a.ID == id })
 }
 
-func (t *traffic) sendOnce(client *http.Client, d *Dispatcher, a Asked, key, body string) Asked {
+// sendOnce sends it, and tells whether a connection was there for it.
+func (t *traffic) sendOnce(client *http.Client, d *Dispatcher, a Asked, key, body string) (Asked, bool) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+d.Listen+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
-		return a // the address is one of ours
+		return a, false // the address is one of ours
 	}
 	class := "enquiry"
 	if a.Once {
@@ -242,8 +245,8 @@
 		_ = resp.Body.Close()
 		a.Whole = err == nil && strings.HasSuffix(string(text), "[DONE]\n\n")
 	}
-	a.Done, a.connected = t.now(), connected.Load()
-	return a
+	a.Done = t.now()
+	return a, connected.Load()
 }
 
 func (t *traffic) close() {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -239,8 +239,7 @@
 	for pass := range 2 {
 		all, zones, cells := &placeSum{}, map[string]*placeSum{}, map[int64]*placeSum{}
 		for _, s := range l.order {
-			s.in = [3]*placeSum{all, at(zones, s.Zone), at(cells, s.Cell)}
-			for _, p := range s.in {
+			for _, p := range []*placeSum{all, at(zones, s.Zone), at(cells, s.Cell)} {
 				if s.listed {
 					p[min(int(s.role), 1)] += s.Weight * s.pull
 				}
@@ -248,8 +247,8 @@
 		}
 		crowding := func(p *placeSum) float64 { return p[0] * all[1] / max(all[0]*p[1], 1e-9) }
 		for _, s := range l.order {
-			s.zoneCrowd = crowding(s.in[1])
-			s.crowd = max(s.zoneCrowd, crowding(s.in[2]))
+			s.zoneCrowd = crowding(zones[s.Zone])
+			s.crowd = max(s.zoneCrowd, crowding(cells[s.Cell]))
 			if s.role == Reader && pass == 0 {
 				s.pull = 1 / min(max(s.zoneCrowd, 1), pullMost)
 			}
--- a/logic/state.go
+++ b/logic/state.go
@@ -97,9 +97,8 @@
 	writes    int
 	crowd     float64 // readers for each writer in its cell or zone, beside the whole fleet's
 	zoneCrowd float64
-	in        [3]*placeSum // the fleet, its zone and its cell
-	pull      float64      // how readily a reader is a home
-	start     float64      // seconds to the first token, and when it was seen
+	pull      float64 // how readily a reader is a home
+	start     float64 // seconds to the first token, and when it was seen
 	startAt   time.Duration
 	report    Report
 	reportAt  time.Duration
