Split the decision module into one file for each concern

Each concern has a file of its own now, with its tuned values beside it; declarations are moved as they were. The deploy file names all of them as policy, which a test holds.

--- a/cmd/standpulley/customers_test.go
+++ b/cmd/standpulley/customers_test.go
@@ -80,7 +80,8 @@
 	}
 }
 
-// The deploy file names every package of the repository that the dispatcher links, and none that it doesn't.
+// The deploy file names every package of the repository that the dispatcher links, and none that it doesn't. Every file of
+// decisions is named as policy.
 func TestDeployFileNamesWhatTheDispatcherLinks(t *testing.T) {
 	text, err := os.ReadFile("../../deploy/balancer.toml")
 	if err != nil {
@@ -93,6 +94,16 @@
 	if err := toml.Unmarshal(text, &deploy); err != nil {
 		t.Fatal(err)
 	}
+	decisions, err := filepath.Glob("../../logic/*.go")
+	if err != nil || len(decisions) == 0 {
+		t.Fatalf("no files of decisions: %v", err)
+	}
+	for _, path := range decisions {
+		file := filepath.Join("logic", filepath.Base(path))
+		if !strings.HasSuffix(file, "_test.go") && !slices.Contains(deploy.Policy, file) {
+			t.Errorf("%s is not named as policy", file)
+		}
+	}
 	out, err := exec.Command("go", "list", "-deps", "-f", "{{if not .Standard}}{{.ImportPath}}{{end}}", ".").Output()
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/logic/admission.go
@@ -0,0 +1,105 @@
+package logic
+
+import (
+	"cmp"
+	"math"
+	"time"
+)
+
+// Admission and refusal of requests as they arrive.
+
+const (
+	aimShare      = 0.7 // waiting may use this share of the aim: estimates err
+	overShareWait = 0.2 // over-share requests may wait this part of what others may
+	overShareLoad = 0.6 // and none is taken while the least writer is this full
+	inPlaceLoad   = 0.5 // a server this full takes no request whole
+	inPlaceSlower = 2.0 // and reads at about this multiple of a reader's rate
+)
+
+// tryKey tells a client's tries of one request from other requests.
+type tryKey struct {
+	session uint64
+	tokens  int64
+}
+
+func (l *Router) arrive(ev *Event) {
+	class := cmp.Or(l.classes[ev.Request.Class], l.classes[l.set.Classes[0].Name])
+	l.seq++
+	r := &request{Request: ev.Request, id: ev.RequestID, seq: l.seq, class: class}
+	r.deadline = l.now + r.Remaining
+	l.requests[r.id], l.bySeq[r.seq] = r, r
+	try := tryKey{r.Session, r.PromptTokens} // a client's further try has used up some of the aim
+	if at, ok := l.tries[try]; !ok || l.now-at > class.Deadline {
+		l.tries[try] = l.now
+		if r.Again { // its first try was elsewhere
+			l.tries[try] -= class.Aim / 2
+		}
+	}
+	r.first = l.tries[try]
+	l.open = append(l.open, r)
+	l.out = append(l.out, Action{Kind: Wake, After: r.Remaining, Tag: r.seq})
+	l.retries = min(l.retries+retryShare, 1+retryShare*l.arrivals.add(l.now, 0, keyLife), retryBurst)
+	s := l.popular[cmp.Or(r.Prefix, r.Session)]
+	s.add(l.now, 1, keyLife)
+	l.popular[cmp.Or(r.Prefix, r.Session)] = s
+	l.arrivals.add(l.now, 1, keyLife)
+	l.came.add(l.now, 1, rateMemory)
+	over := l.overShare(r)
+	c := l.chooseReader(r)
+	pause, no := l.refuses(r, c, over)
+	if !no {
+		l.start(r, c)
+	} else if s := l.inPlace(r); s != nil && !over {
+		l.sendWhole(r, s)
+	} else {
+		l.finish(r, Refuse, pause)
+	}
+}
+
+// refuses tells whether waiting, at the reader or at the writers, would push the request past its aim.
+func (l *Router) refuses(r *request, c readChoice, over bool) (time.Duration, bool) {
+	if l.average == 0 || c.at == nil || r.Resumed {
+		return 0, false // nothing is refused before a rate is learned, nor the rest of what was served so far
+	}
+	aim := aimShare * l.aimOf(r)
+	wait, least := math.Inf(1), math.Inf(1)
+	for _, s := range l.candidates(r, false) {
+		wait, least = min(wait, l.startWait(s)), min(least, l.load(s))
+	}
+	wait += c.wait
+	room := max(aim-c.read, aim/2) // its own long read never refuses it
+	if over {
+		room *= overShareWait
+	}
+	if wait <= room && !(over && least > overShareLoad) {
+		return 0, false
+	}
+	pause := min(max(wait-room, overdueAim*aim), l.set.MaxRetryAfter.Seconds())
+	return time.Duration(pause * float64(time.Second)), true
+}
+
+// inPlace finds a server to read and answer a request whole where the readers' queue would refuse it: a
+// mixed one, else a writer that reads in place, with room and no longer a queue of them than the aim allows.
+func (l *Router) inPlace(r *request) *server {
+	var best *server
+	aim := aimShare * l.aimOf(r)
+	least := aim
+	for _, s := range l.candidates(r, false) {
+		if s.role == Writer && !l.set.ReadInPlace || l.load(s) > inPlaceLoad {
+			continue
+		}
+		wait := float64(s.unread+r.PromptTokens)*inPlaceSlower*l.average + l.startWait(s)
+		better := best == nil || best.role == s.role && wait < least || s.role == Mixed && best.role != Mixed
+		if wait < aim && better {
+			best, least = s, wait
+		}
+	}
+	return best
+}
+
+// aimOf is the seconds in which the first token is wanted, or in which the client leaves, if that is sooner.
+func (l *Router) aimOf(r *request) float64 {
+	aim := r.class.Aim.Seconds() + r.class.AimPer1K.Seconds()*float64(r.PromptTokens)/1000
+	left := min(aim-(l.now-r.first).Seconds(), r.Remaining.Seconds())
+	return max(left, aim*overShareWait) // late answers are worth as little as those over a share
+}
--- /dev/null
+++ b/logic/placement.go
@@ -0,0 +1,82 @@
+package logic
+
+import (
+	"math"
+	"slices"
+)
+
+// Placement of reads: Algorithm 1 of the design.
+
+const (
+	balancingThreshold = 2.0 // Algorithm 1: a match this much shorter is none
+	homePrice          = 4.0 // read times added for a further home while all queue
+	zonePrice          = 5.0 // shares of the aim that a reader elsewhere must be sooner by, for its price
+)
+
+type readChoice struct {
+	at         *server
+	wait, read float64
+	ahead      float64 // tokens
+	match      match
+	rehome     bool
+}
+
+// chooseReader gives the reader with the lowest wait plus unmatched read time.
+func (l *Router) chooseReader(r *request) (best readChoice) {
+	readers := l.candidates(r, true)
+	held, homes := l.matches(r), l.homes(r, readers)
+	if l.sparse() && len(homes) > 0 {
+		home := homes[0].at
+		kept, gone := l.settled(r, readers)
+		joins := l.joins(r, home, readers)
+		if kept != nil && (!joins || unit(mix(r.Session+2)) < gone) { // few leave a reader that is still there
+			home, joins = kept, false
+		}
+		all := len(readers)
+		readers = slices.DeleteFunc(readers, func(s *server) bool { return l.young(s) && !(s == home && joins) })
+		if len(readers) < all {
+			homes = l.homes(r, readers)
+		}
+		if joins || kept != nil {
+			homes = append([]drawn{{at: home}}, homes...)
+		}
+	}
+	for i, home := range homes { // others that know the list send the same key here
+		s := home.at
+		most := r.PrefixTokens
+		if i == 0 && r.Session != 0 {
+			most = (r.PrefixTokens + r.PromptTokens) / 2
+		}
+		if m := held[s]; m.tokens < most {
+			m.tokens, m.presumed = most, true
+			held[s] = m
+		}
+	}
+	longest, least, crowd := int64(0), 0.0, math.Inf(1)
+	for _, s := range readers {
+		longest = max(longest, held[s].tokens)
+		rate := l.rateOf(s)
+		crowd = min(crowd, l.backlog(s, rate)*rate+l.hidden(s))
+	}
+	crowd = min(crowd/l.overdue, 1)
+	for _, s := range readers {
+		rate := l.rateOf(s)
+		c := readChoice{at: s, match: held[s], ahead: l.backlog(s, rate)}
+		c.wait = c.ahead*rate + l.hidden(s)
+		// Below the threshold the document would move the missing prefix; it is read anew instead, at the
+		// same charge, and the reader becomes a further home.
+		c.rehome = longest > 0 && float64(longest) >= balancingThreshold*float64(c.match.tokens)
+		c.read = float64(max(r.PromptTokens-c.match.tokens, 1)) * rate
+		charge := c.read
+		if s.Zone != l.set.Zone {
+			charge += l.set.CrossZone * zonePrice * l.overdue / overdueAim
+		}
+		if c.rehome {
+			charge += crowd * homePrice * float64(longest-c.match.tokens) * rate
+		}
+		if score := c.wait + charge; best.at == nil || score < least {
+			best, least = c, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/logic/retry.go
@@ -0,0 +1,62 @@
+package logic
+
+// Retries: their budget, time-outs by choice, and the rule on repeats.
+
+const (
+	retryShare    = 0.2  // further attempts by choice, as a share of arrivals ...
+	retryBurst    = 10.0 // ... and what may be saved up
+	overdueFactor = 4.0  // an attempt is overdue after this multiple of the expected
+	overdueAim    = 0.25 // and never before this share of the shortest aim
+)
+
+// allowed tells whether a send to s keeps the request's effect single.
+func (l *Router) allowed(r *request, s *server) bool {
+	if r.ranAt == nil || r.class.Repeat == Safe {
+		return true
+	}
+	if r.class.Repeat == Unsafe || l.now-r.ranSince >= r.class.Window {
+		return false
+	}
+	switch r.class.Scope {
+	case SameZone:
+		return s.Zone == r.ranAt.Zone
+	case SameCell:
+		return s.Cell == r.ranAt.Cell
+	}
+	return true
+}
+
+// patience is how long an attempt may take before it is overdue. An attempt cut shorter would time out while
+// its server is well, and a fleet of impatient clients would become a storm of attempts.
+// Where a server is heard of seldom, the usual time of all reads lately tells more than its own silence.
+func (l *Router) patience(expected float64) float64 {
+	return max(l.overdue, overdueFactor*max(expected, l.usual))
+}
+
+// checkOverdue gives up on an attempt that takes far longer than foreseen at a server that has said nothing
+// since: silence, whatever its cause. Where the server has answered what was sent to it later, which waits behind it,
+// only the attempt's connection is silent. Retries are bounded, so a slowness of all does not become a storm.
+func (l *Router) checkOverdue(r *request) {
+	age := (l.now - r.sentAt).Seconds()
+	s := r.at
+	passed := s.passed > r.sentAt
+	if r.cancelled || age < l.patience(r.expected) || s.heard >= r.sentAt && !passed {
+		return
+	}
+	if !passed && l.now >= s.backAt {
+		l.failed(s)
+	}
+	if !l.set.CanCancel || l.retries < 1 || r.attempts >= l.set.MaxAttempts ||
+		r.class.Repeat != Safe && (r.phase == writing || r.class.Repeat == Unsafe && !l.set.CancelEnds) {
+		return
+	}
+	l.retries--
+	l.cancel(r)
+}
+
+func (l *Router) cancel(r *request) {
+	if r.at != nil && r.phase != streaming && l.set.CanCancel && !r.cancelled {
+		r.cancelled = true
+		l.out = append(l.out, Action{Kind: Cancel, RequestID: r.id, Attempt: r.attempts - 1})
+	}
+}
--- /dev/null
+++ b/logic/tenants.go
@@ -0,0 +1,27 @@
+package logic
+
+import "time"
+
+// Tenant quotas.
+
+type tenantState struct {
+	rate, credit float64
+	at           time.Duration
+}
+
+// overShare books an arrival on its tenant and tells whether it exceeds this router's part of the share.
+func (l *Router) overShare(r *request) bool {
+	t := l.tenants[r.Tenant]
+	if t == nil || t.rate <= 0 {
+		return false
+	}
+	if t.at > 0 {
+		t.credit = min(t.credit+(l.now-t.at).Seconds()*t.rate, t.rate*shareBurst+1)
+	}
+	t.at = l.now
+	if t.credit < 1 {
+		return true
+	}
+	t.credit--
+	return false
+}
