Measure the module's time on the monotonic clock and find a replica's age once

Cause: the core made the module's clock from the wall clock's nanoseconds (dispatch.sinceEpoch) and compared it with started_ms, and an attempt's time came from time.Unix, which has no monotonic reading. A step of an hour ended ramps, windows and attempts, or made all replicas cold. Now the module's clock counts from the core's start; started_ms becomes an age once, when it is first told, by the younger of the two readings; what can't be true counts as just started. The lists in versions and the return from a power loss still compare wall times; they are off on the platform.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -18,8 +18,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := logic.ServerEntry{ID: "s", Zone: "z", Kind: "k", Cell: 3, Availability: logic.Draining, Weight: 2.5, Started: 1500 * time.Millisecond}
-	if u := l.Update(); u.Full || u.Servers[0].ServerEntry != want || u.Servers[0].Addr != "a:1" || l.Version != 43 {
+	want := logic.ServerEntry{ID: "s", Zone: "z", Kind: "k", Cell: 3, Availability: logic.Draining, Weight: 2.5}
+	if u := l.Update(); u.Full || u.Servers[0].ServerEntry != want || u.Servers[0].Addr != "a:1" || l.Version != 43 ||
+		!u.Servers[0].LastBoot.Equal(time.UnixMilli(1500)) {
 		t.Errorf("got %+v", u)
 	}
 	for text, word := range map[string]string{
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -74,8 +74,10 @@
 	for i, e := range l.Servers {
 		u.Servers[i] = dispatch.Server{Addr: e.Addr, ServerEntry: logic.ServerEntry{
 			ID: e.ID, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, Availability: states[e.State], Weight: e.Weight,
-			Started: time.Duration(e.StartedMS) * time.Millisecond, // the core's clock counts from the same moment
 		}}
+		if e.StartedMS > 0 {
+			u.Servers[i].LastBoot = time.UnixMilli(e.StartedMS)
+		}
 	}
 	return u
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -23,7 +23,8 @@
 // Server is one entry of the list of replicas with the address at which it is reached.
 type Server struct {
 	logic.ServerEntry
-	Addr string
+	Addr     string
+	LastBoot time.Time // when its process started, by the wall clock of who made the list; zero: long ago. The core derives Started.
 
 	withdrawn *atomic.Bool // by a later list; the core's own
 }
@@ -86,7 +87,7 @@
 	Release(id string, addrs []string)
 }
 
-// Clock tells the time; the module's clock is the time since the Unix epoch.
+// Clock tells the time. Only spans between its readings count.
 type Clock func() time.Time
 
 // message is what is posted to the goroutine that owns the core.
@@ -107,14 +108,16 @@
 	done     chan struct{}
 
 	// What follows belongs to Run's goroutine.
-	requests map[string]*request
-	servers  map[string]*Server
-	alarms   alarms
-	actions  []logic.Action
-	events   []logic.Event // that answer actions at once
-	bounds   Bounds
-	size     int // of the open requests
-	licence  Licence
+	startedAt time.Time // the core itself, by clock
+	starts    *startTimes
+	requests  map[string]*request
+	servers   map[string]*Server
+	alarms    alarms
+	actions   []logic.Action
+	events    []logic.Event // that answer actions at once
+	bounds    Bounds
+	size      int // of the open requests
+	licence   Licence
 }
 
 // Bounds are those of the table of open requests.
@@ -140,7 +143,9 @@
 	d := &Dispatcher{Phases: newPhases(), Counts: &Counts{}, set: set, router: router, releaser: releaser,
 		clock: time.Now, inbox: make(chan message, inboxSize), done: make(chan struct{}),
 		requests: map[string]*request{}, servers: map[string]*Server{}, bounds: bounds.under(set)}
-	known.apply(d)
+	d.startedAt = d.clock()
+	d.starts = newStartTimes(wallClock, d.now())
+	d.takeList(known)
 	return d, nil
 }
 
@@ -209,21 +214,23 @@
 	}
 }
 
-// now is the module's clock.
-func (d *Dispatcher) now() time.Duration { return sinceEpoch(d.clock()) }
-
-func sinceEpoch(t time.Time) time.Duration { return time.Duration(t.UnixNano()) }
-
 // Tell takes a list of replicas.
 func (d *Dispatcher) Tell(u Update) { d.post(u) }
 
 func (u Update) apply(d *Dispatcher) {
+	d.starts.listTold(d.now())
+	d.takeList(u)
+}
+
+// takeList puts a list in force.
+func (d *Dispatcher) takeList(u Update) {
 	ev, before := logic.Event{Kind: logic.ListChanged}, d.servers
 	if u.Full {
 		ev.Kind = logic.ListComplete
 		d.servers = map[string]*Server{}
 	}
 	for _, s := range u.Servers {
+		s.Started = d.starts.started(s.ID, s.LastBoot, d.now())
 		ev.Servers = append(ev.Servers, s.ServerEntry)
 		s.withdrawn = new(atomic.Bool)
 		if was := before[s.ID]; was != nil && was.Availability == logic.Ready && s.Availability == logic.Ready && was.Addr == s.Addr {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -36,7 +36,7 @@
 	}
 	at.addr, at.role = s.Addr, d.roleOf(s)
 	until := r.deadline
-	if t := time.Unix(0, int64(a.Until)); a.Until > 0 && t.Before(until) {
+	if t := d.timeAt(a.Until); a.Until > 0 && t.Before(until) {
 		until = t
 	}
 	r.out[at.n] = at
--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -290,8 +290,11 @@
 var states = map[logic.Availability]string{logic.Ready: roster.InService, logic.Draining: roster.Terminating, logic.Gone: roster.Terminated}
 
 func entryOf(s dispatch.Server) roster.Entry {
-	return roster.Entry{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: states[s.Availability], Weight: s.Weight,
-		StartedMS: s.Started.Milliseconds()}
+	e := roster.Entry{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: states[s.Availability], Weight: s.Weight}
+	if !s.LastBoot.IsZero() {
+		e.StartedMS = s.LastBoot.UnixMilli()
+	}
+	return e
 }
 
 // updateOf puts entries into the core's form, as discovery does.
