Answer who is evicted, tell replicas what is left to the client, and send nothing for who has gone

No further descriptors: the eight that linger stay eight. - Deadline: a request that waited behind another on its connection was dated when its turn came (TestAttemptsTellWhatTheClientHasLeft: tells 1.9998 s after 0.4 s of 2 s). It is dated by the last bytes read. - Client gone: the first byte of an attempt asks whether the client has gone, by the watch and by the connection itself, so a core that is busy delays nothing (TestNoAttemptBeginsOnceTheClientHasGone).

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -9,26 +9,28 @@
 
 // request is one that was taken, from its arrival until its answer is given and no attempt is out.
 type request struct {
-	id       string
-	ask      logic.Request
-	received time.Time
-	deadline time.Time
-	class    *logic.Class
-	parcel   Parcel
-	size     int
-	movable  bool
-	noted    Noted
-	ticket   *Ticket
-	answered bool
-	verdict  Verdict
-	sent     int
-	out      map[int]*attempt // by number
-	ran      bool             // an attempt that ended may have run
-	reached  atomic.Int64     // attempts whose last byte was written
-	holder   string           // address of the reader that holds what the last read left, or may; empty: nothing is held
-	loose    bool             // a read ended without a word on what it left behind
-	unheard  bool             // a read was given up, and goes on if its replica could not hear of that
-	ranSince time.Time        // when the first attempt that may have run, or may be out yet, was sent
+	id         string
+	ask        logic.Request
+	received   time.Time
+	deadline   time.Time
+	class      *logic.Class
+	parcel     Parcel
+	size       int
+	movable    bool
+	noted      Noted
+	ticket     *Ticket
+	left       atomic.Bool // the client has gone; any goroutine may find that out
+	clientGone func() bool
+	answered   bool
+	verdict    Verdict
+	sent       int
+	out        map[int]*attempt // by number
+	ran        bool             // an attempt that ended may have run
+	reached    atomic.Int64     // attempts whose last byte was written
+	holder     string           // address of the reader that holds what the last read left, or may; empty: nothing is held
+	loose      bool             // a read ended without a word on what it left behind
+	unheard    bool             // a read was given up, and goes on if its replica could not hear of that
+	ranSince   time.Time        // when the first attempt that may have run, or may be out yet, was sent
 }
 
 const (
@@ -80,6 +82,14 @@
 	}
 }
 
+// clientLeft tells whether a request's client has gone, as far as anybody can tell now.
+func (r *request) clientLeft() bool {
+	if !r.left.Load() && r.clientGone != nil && r.clientGone() {
+		r.left.Store(true)
+	}
+	return r.left.Load()
+}
+
 // giveUp answers a request over the module's head, which is told that it has gone.
 func (d *Dispatcher) giveUp(r *request, a Answer) {
 	d.answer(r, a)
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -76,6 +76,9 @@
 	if r.holder != "" && out != logic.ConnectFailed && out != logic.NotSent {
 		d.watchHeld(r) // also where the writer was silent: it may never have come for the state
 	}
+	if res.Left && !r.answered {
+		d.giveUp(r, Answer{Verdict: Left})
+	}
 	if res.Lapsed {
 		d.lapsed(r) // before the module tries elsewhere: there is no leave anywhere
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,6 +71,7 @@
 	Tokens  int64  // prompt tokens found kept, with ReadDone
 	NoState bool   // with Full: there was no state to fetch; else: the attempt has taken it
 	Lapsed  bool   // with NotSent: there was no leave to send
+	Left    bool   // with NotSent: the client had gone
 	Detail  string // for people
 }
 
--- a/internal/dispatch/licence.go
+++ b/internal/dispatch/licence.go
@@ -65,6 +65,7 @@
 	ErrLapsed    = errors.New("there is no licence to send")
 	ErrWithdrawn = errors.New("the server was withdrawn meanwhile")
 	ErrClosed    = errors.New("the window for repeats has closed")
+	ErrLeft      = errors.New("the client has gone")
 )
 
 // leave is what an attempt at a server asks before its first byte, whatever kind of send it is. A lease that was renewed since the
@@ -82,6 +83,9 @@
 				return errors.Join(ErrLapsed, err)
 			}
 		}
+		if r.clientLeft() {
+			return ErrLeft
+		}
 		if s.withdrawn.Load() {
 			return ErrWithdrawn
 		}
--- a/internal/dispatch/take.go
+++ b/internal/dispatch/take.go
@@ -15,6 +15,10 @@
 	Size     int   // bytes of memory that the parcel holds
 	Noted    Noted // nil where nobody is to find its attempts
 	Movable  bool  // its client asks another dispatcher for the rest of a stream that ends early
+
+	// ClientGone tells whether the client has ended its connection. It is asked right before the first byte of each attempt, from the
+	// attempt's goroutine; nil where nobody can tell.
+	ClientGone func() bool
 }
 
 // Verdict is the kind of a final answer.
@@ -52,7 +56,11 @@
 func (t *Ticket) Answer() <-chan Answer { return t.answer }
 
 // Leave says that the client has gone. The answer still comes: Left, or what was decided before.
-func (t *Ticket) Leave() { t.d.post(departure{t.r}) }
+// No attempt begins any more, also before the core has heard of it.
+func (t *Ticket) Leave() {
+	t.r.left.Store(true)
+	t.d.post(departure{t.r})
+}
 
 // Finish says that the front has passed the answer on, or could not. The caller owes it after every Answer.
 func (t *Ticket) Finish() {
@@ -67,7 +75,8 @@
 // Take hands in a request.
 func (d *Dispatcher) Take(q Request) *Ticket {
 	t := &Ticket{d: d, answer: make(chan Answer, 1), finished: make(chan struct{})}
-	t.r = &request{id: q.ID, ask: q.Ask, received: q.Received, parcel: q.Parcel, size: q.Size, movable: q.Movable, noted: q.Noted, ticket: t}
+	t.r = &request{id: q.ID, ask: q.Ask, received: q.Received, parcel: q.Parcel, size: q.Size, movable: q.Movable, noted: q.Noted, ticket: t,
+		clientGone: q.ClientGone}
 	d.Phases.begin()
 	d.Counts.opened(1)
 	d.post(arrival{t.r})
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -86,7 +86,7 @@
 }
 
 func (f *Front) serve(ctx *fasthttp.RequestCtx, body []byte) {
-	received := time.Now()
+	received := front.Received(ctx)
 	switch p := string(ctx.Path()); {
 	case p == path && ctx.IsPost():
 		if err := f.complete(ctx, body, received); err != nil {
@@ -153,7 +153,7 @@
 		}
 		done = func(mayHaveRun bool) { f.ledger.close(key, mayHaveRun) }
 	}
-	t := f.core.Take(dispatch.Request{ID: id, Ask: ask, Received: received, Size: len(text), Noted: noted, Parcel: &replica.Parcel{
+	t := f.core.Take(dispatch.Request{ID: id, Ask: ask, Received: received, ClientGone: front.HungUp(ctx), Size: len(text), Noted: noted, Parcel: &replica.Parcel{
 		Pool: f.pool, ID: id, Method: fasthttp.MethodPost, URI: path, Host: string(h.Host()), Body: text,
 		Headers: headers(ask, h)}})
 	a, stop := front.Await(ctx, t)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -22,7 +22,8 @@
 // Conn is a client's connection. fasthttp does not notice a client that leaves while a handler runs; Watch does.
 type Conn struct {
 	net.Conn
-	ahead []byte // what came behind the request that is being answered, and was read while its client was watched
+	readAt time.Time // when bytes last came
+	ahead  []byte    // what came behind the request that is being answered, and was read while its client was watched
 
 	gate  *Gate
 	place *list.Element // among the waiting, guarded by the gate
@@ -76,6 +77,9 @@
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.readAt = time.Now()
+	}
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.mayBeAnswered() {
 		if n, _ := c.arrived(p); n > 0 {
 			return n, nil
@@ -106,6 +110,9 @@
 		n, _, err = syscall.Recvfrom(fd, p, syscall.MSG_DONTWAIT)
 		return n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
 	})
+	if n > 0 {
+		c.readAt = time.Now()
+	}
 	return max(n, 0), end
 }
 
@@ -121,6 +128,23 @@
 	return c.hungUp()
 }
 
+// Received is when the last byte of the request that is being answered came, at the latest: it may have waited behind the one before. Its
+// client's time runs from then.
+func Received(ctx *fasthttp.RequestCtx) time.Time {
+	if c, ok := ctx.Conn().(*Conn); ok && !c.readAt.IsZero() {
+		return c.readAt
+	}
+	return time.Now()
+}
+
+// HungUp gives what tells whether the client of a request has ended its connection. It may be asked from any goroutine.
+func HungUp(ctx *fasthttp.RequestCtx) func() bool {
+	if c, ok := ctx.Conn().(*Conn); ok {
+		return c.hungUp
+	}
+	return nil
+}
+
 // hungUp tells whether the machine has heard that the client has ended the connection, whatever it sent before that and is not read yet.
 func (c *Conn) hungUp() bool {
 	return c.look(func(fd int) bool {
@@ -158,6 +182,9 @@
 			left := false
 			if len(c.ahead) < aheadMost {
 				n, err := c.Conn.Read(c.room())
+				if n > 0 {
+					c.readAt = time.Now()
+				}
 				c.ahead = c.ahead[:len(c.ahead)+n]
 				left = err != nil
 			} else if left = c.hungUp(); !left {
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -16,7 +16,7 @@
 	most    int
 	open    int
 	waiting list.List // of *Conn that have no open request, the longest first
-	refused int       // connections that are being told so
+	refused int       // connections that were answered unread and are not closed yet
 	away    bool      // none is kept after an answer
 
 	mostBytes int
@@ -25,7 +25,9 @@
 }
 
 const (
-	refusedMost = 8 // at once; beyond that they are closed without a word
+	refusedMost = 8 // that are waited for at once, so that nothing they still send resets their answer
+	// The answer fits into the send buffer of a connection on which nothing was answered yet.
+	dismissTime = 10 * time.Millisecond
 	// Nobody has read what the client asks for. It may be the rest of what has run already, so this is no 503, which
 	// says that trying again is harmless.
 	refusal = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -48,27 +50,61 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for g.open >= g.most && g.waiting.Len() > 0 {
-		g.leave(g.idlest())
+		g.evict(g.idlest())
 	}
 	if g.open < g.most {
 		g.open++
 		c.wait()
 		return c
 	}
+	g.dismiss(tcp)
+	return nil
+}
+
+// evict closes a connection in favor of another. A request may have begun to come on it, or have come whole by now: then its client is
+// answered. The gate is locked.
+func (g *Gate) evict(c *Conn) {
+	if !c.began {
+		g.leave(c)
+		return
+	}
+	if g.forget(c) {
+		g.dismiss(c.Conn)
+	}
+}
+
+// dismiss answers a client whose request nobody will read, and closes its connection. The gate is locked, so nothing here waits.
+func (g *Gate) dismiss(tcp net.Conn) {
+	_ = tcp.SetWriteDeadline(time.Now().Add(dismissTime))
+	_, _ = io.WriteString(tcp, refusal) // a client that can't read it has gone
+	if t, ok := tcp.(*net.TCPConn); ok {
+		_ = t.CloseWrite() // nothing else may follow the answer
+	}
 	if g.refused >= refusedMost {
-		_ = tcp.Close() // nothing was read of it
-		return nil
+		discardArrived(tcp)
+		_ = tcp.Close()
+		return
 	}
 	g.refused++
 	go func() {
-		_, _ = io.WriteString(tcp, refusal) // a client that can't read it has gone
 		linger(tcp)
 		_ = tcp.Close()
 		g.mu.Lock()
 		g.refused--
 		g.mu.Unlock()
 	}()
-	return nil
+}
+
+// discardArrived reads, without waiting, what has come on a connection: closing over unread bytes would reset it, and the answer might go
+// with it.
+func discardArrived(tcp net.Conn) {
+	c := Conn{Conn: tcp}
+	var piece [4 << 10]byte
+	for range lingerMost / len(piece) {
+		if n, end := c.arrived(piece[:]); n == 0 || end {
+			return
+		}
+	}
 }
 
 // idlest gives the connection that has waited the longest, one whose request has begun to come only if there is no other. The gate is
@@ -84,8 +120,15 @@
 
 // leave closes a connection and gives its place free. The gate is locked.
 func (g *Gate) leave(c *Conn) {
+	if g.forget(c) {
+		_ = c.Conn.Close() // whoever reads it finds out
+	}
+}
+
+// forget gives a connection's place free, and tells whether it had one. The gate is locked.
+func (g *Gate) forget(c *Conn) bool {
 	if c.gone {
-		return
+		return false
 	}
 	c.gone = true
 	g.open--
@@ -94,7 +137,7 @@
 		c.place = nil
 	}
 	c.letGo()
-	_ = c.Conn.Close() // whoever reads it finds out
+	return true
 }
 
 // hold books further bytes for the body that a connection brings. Beyond the bound, connections whose bodies have been
@@ -112,7 +155,7 @@
 	}
 	c.held += bytes
 	for g.bytes += bytes; g.bytes > g.mostBytes; {
-		g.leave(g.coming.Front().Value.(*Conn))
+		g.evict(g.coming.Front().Value.(*Conn))
 	}
 	return !c.gone
 }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -69,7 +69,7 @@
 func refuse(ctx *fasthttp.RequestCtx, status int, text string) { ctx.Error(text, status) }
 
 func (f *Front) serve(ctx *fasthttp.RequestCtx, body []byte) {
-	received := time.Now()
+	received := front.Received(ctx)
 	switch string(ctx.Path()) {
 	case "/-/ready":
 		front.Ready(ctx, f.core)
@@ -89,7 +89,7 @@
 		ctx.SetConnectionClose() // its next request may begin elsewhere than it seems
 		return
 	}
-	q.Received = received
+	q.Received, q.ClientGone = received, front.HungUp(ctx)
 	if f.ledger != nil && !q.Ask.Resumed && f.set.Load().classes[q.Ask.Class].Repeat == logic.Unsafe {
 		q.Noted, err = once.Enter(f.ledger, &ctx.Request.Header, q.Ask.Tenant, body, q.Ask.Again, received.Add(q.Ask.Remaining))
 		if err != nil {
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -200,7 +200,7 @@
 	case a.ctx.Err() != nil || isTimeout(err):
 		as = logic.TimedOut
 	}
-	return dispatch.Result{Outcome: as, Lapsed: errors.Is(err, dispatch.ErrLapsed), Detail: err.Error()}
+	return dispatch.Result{Outcome: as, Lapsed: errors.Is(err, dispatch.ErrLapsed), Left: errors.Is(err, dispatch.ErrLeft), Detail: err.Error()}
 }
 
 func isTimeout(err error) bool {
