Model servers that batch, whose long prompts cost more than their length

The model's readers read short prompts together and charge the pairs; sites name what their replicas can do.

--- /dev/null
+++ b/internal/fleetmodel/batching.go
@@ -0,0 +1,38 @@
+package fleetmodel
+
+import "time"
+
+// Batching is a day of a fleet of the newer kind: see BatchingSite. One zone has half of the traffic, and from a time on a part of it begins
+// with one opening that nobody has read before.
+func Batching(routers int, hot float64) Day {
+	d := Day{Name: "batching", Site: BatchingSite, Routers: routers, Readers: 94, Writers: 6, Zones: 3, Cell: 6, Rate: 71, Length: 30 * time.Second,
+		Lag: 1500 * time.Millisecond, Uneven: 0.5, ZoneTraffic: []float64{0.25, 0.27, 0.48}}
+	if routers <= 10 {
+		d.Readers, d.Writers, d.Rate, d.Cell = 12, 2, 9, 7
+	}
+	if hot > 0 {
+		d.Events = append(d.Events, Change{8 * time.Second, func(m *Model) { m.addOpening(hot) }})
+	}
+	return d
+}
+
+// BatchingJoin is the same while six in ten replicas are replaced within seven seconds.
+func BatchingJoin(routers int) Day {
+	d := Batching(routers, 0)
+	d.Name, d.Lag = "batching-join", 2500*time.Millisecond
+	d.Events = Join().Events
+	return d
+}
+
+// addOpening has a part of all new sessions begin with an opening that was not there before.
+func (m *Model) addOpening(part float64) {
+	t := text{m.rnd.Uint64() | 1, m.between(m.classes[0].short, m.classes[0].long)}
+	for class, weights := range m.weights {
+		sum := 0.0
+		for _, w := range weights {
+			sum += w
+		}
+		m.texts[class] = append(m.texts[class], t)
+		m.weights[class] = append(weights, sum*part/(1-part))
+	}
+}
--- a/internal/fleetmodel/client.go
+++ b/internal/fleetmodel/client.go
@@ -14,12 +14,37 @@
 	writerLoad = 0.55
 )
 
-// Site is a deployment: its settings, and how the clients of each of its classes behave.
+// Site is a deployment: its settings, how the clients of each of its classes behave, and what its replicas can do.
 type Site struct {
 	settings func() logic.Settings
 	classes  []class
+	reader   readerEngine
+	writer   writerEngine
 }
 
+// readerEngine is what a site's readers can do.
+type readerEngine struct {
+	slowest, fastest float64 // tokens that a warm one reads in a second
+	pairs            float64 // seconds for a million pairs of a token and one before it
+	overhead         float64 // seconds a batch
+	batch            float64 // tokens of short prompts that are read together; 0: one prompt at a time
+	queue            int
+	memory           float64 // tokens
+}
+
+// writerEngine is what a site's writers can do.
+type writerEngine struct {
+	slots, queue               int
+	memory                     float64 // tokens
+	step, perAnswer, perKToken float64 // seconds a token takes each answer: by itself, for each answer that runs, for each 1,000 tokens held
+}
+
+// The engines of the first sites. Their readers are slower than those of real sites, as long prompts cost no more than their length.
+var (
+	plainReader = readerEngine{slowest: 7000, fastest: 8800, overhead: 0.004, queue: 40, memory: 215000}
+	plainWriter = writerEngine{slots: 80, queue: 25, memory: 150000, step: 0.014, perAnswer: 0.0002, perKToken: 0.00005}
+)
+
 // site gives the day's deployment, the first one where it names none.
 func (d Day) site() Site {
 	if d.Site.settings == nil {
@@ -54,7 +79,7 @@
 }, classes: []class{
 	{0.56, 2.8, 6, 420, 160, 500, 14, 1100, 3800, 0.88},
 	{0.44, 5.5, 2.8, 500, 100, 400, 4, 2600, 7700, 0.79},
-}}
+}, reader: plainReader, writer: plainWriter}
 
 // SecondSite has three: short questions, changes that replicas throw away when they are repeated, and claims that must not run twice. Its
 // deadlines are shorter, its replicas colder and sooner pushed over, its prompts longer.
@@ -75,7 +100,23 @@
 	{0.55, 1.6, 8, 300, 90, 300, 20, 400, 2200, 0.7},
 	{0.27, 3.2, 4, 700, 140, 500, 6, 1800, 5200, 0.85},
 	{0.18, 4.5, 3, 900, 110, 400, 3, 3000, 9000, 0.9},
-}}
+}, reader: plainReader, writer: plainWriter}
+
+// BatchingSite has servers that batch: short prompts are read together, and a long one costs more than its length, as each token attends to
+// all before it. Sessions are short, nearly all begin with one of very many shared openings, and a few prompts are far longer than most. Few
+// writers serve many readers.
+var BatchingSite = Site{settings: func() logic.Settings {
+	set := firstSite.settings()
+	set.Kinds = []logic.Kind{{Name: "reader", Role: logic.Reader, MemoryTokens: 305000}, {Name: "writer", Role: logic.Writer, MemoryTokens: 765000}}
+	for i := range set.Classes {
+		set.Classes[i].Aim, set.Classes[i].AimPer1K = 1200*time.Millisecond, 84*time.Millisecond
+	}
+	return set
+}, classes: []class{
+	{0.56, 1.6, 2.5, 1300, 60, 542, 120, 3500, 6100, 0.95},
+	{0.44, 1.6, 2.5, 1300, 60, 542, 120, 3500, 6100, 0.95},
+}, reader: readerEngine{slowest: 12400, fastest: 13400, pairs: 0.00335, overhead: 0.015, batch: 8192, queue: 200, memory: 305000},
+	writer: writerEngine{slots: 128, queue: 200, memory: 765000, step: 0.009, perAnswer: 0.000035, perKToken: 0.00002}}
 
 // text is an opening that sessions share.
 type text struct {
@@ -175,7 +216,7 @@
 
 func (m *Model) begin(ci int) *talk {
 	c := m.classes[ci]
-	t := &talk{class: ci, key: m.rnd.Uint64() | 1, left: 1, zone: m.rnd.IntN(m.day.Zones)}
+	t := &talk{class: ci, key: m.rnd.Uint64() | 1, left: 1, zone: m.drawZone()}
 	for m.rnd.Float64() > 1/c.turns {
 		t.left++
 	}
@@ -186,6 +227,14 @@
 	return t
 }
 
+// drawZone gives the zone of a new session's client.
+func (m *Model) drawZone() int {
+	if len(m.day.ZoneTraffic) > 0 {
+		return m.pick(m.day.ZoneTraffic)
+	}
+	return m.rnd.IntN(m.day.Zones)
+}
+
 // turn is a session's next request.
 func (m *Model) turn(t *talk) {
 	if m.now-start >= m.day.Length {
@@ -193,7 +242,7 @@
 	}
 	c := m.classes[t.class]
 	t.left--
-	t.prompt += c.newTokens * (0.4 + 0.6*m.rnd.ExpFloat64())
+	t.prompt += c.newTokens * m.newTokens()
 	q := &ask{talk: t, first: m.now, session: t.key, shared: t.text.key, opening: t.text.tokens, prompt: t.prompt,
 		answer: min(max(c.outTokens*(0.3+0.7*m.rnd.ExpFloat64()), 4), c.maxOut)}
 	m.report.offered(q)
@@ -269,6 +318,17 @@
 	m.on(t)
 }
 
+// newTokens draws what a turn adds, as a share of its class's usual. Where servers batch, some turns bring very long texts.
+func (m *Model) newTokens() float64 {
+	if m.day.site().reader.pairs == 0 {
+		return 0.4 + 0.6*m.rnd.ExpFloat64()
+	}
+	return min(math.Exp(1.15*m.rnd.NormFloat64()), longestTurn)
+}
+
+// longestTurn is the longest turn, as a multiple of the usual.
+const longestTurn = 25
+
 func (m *Model) on(t *talk) {
 	if t.left > 0 {
 		m.after(seconds(m.classes[t.class].think*m.rnd.ExpFloat64()), func() { m.turn(t) })
--- a/internal/fleetmodel/model.go
+++ b/internal/fleetmodel/model.go
@@ -16,19 +16,20 @@
 
 // Day is what a run plays. Times are from its start.
 type Day struct {
-	Name    string
-	Site    Site // none: the first
-	Routers int
-	Readers int
-	Writers int
-	Zones   int
-	Cell    int           // replicas to a cell
-	Rate    float64       // requests a second over the fleet
-	Length  time.Duration // during which requests arrive
-	Lag     time.Duration // from a change of the list until routers hear of it, on average
-	Events  []Change
-	Uneven  float64 // how unevenly the front spreads clients: 0 evenly
-	Burst   Burst
+	Name        string
+	Site        Site // none: the first
+	Routers     int
+	Readers     int
+	Writers     int
+	Zones       int
+	Cell        int           // replicas to a cell
+	Rate        float64       // requests a second over the fleet
+	Length      time.Duration // during which requests arrive
+	Lag         time.Duration // from a change of the list until routers hear of it, on average
+	Events      []Change
+	Uneven      float64 // how unevenly the front spreads clients: 0 evenly
+	Burst       Burst
+	ZoneTraffic []float64 // shares of the sessions that begin in each zone; none: even ones
 
 	Places    int           // connections that a replica holds; 0 = any number
 	Tries     int           // that a client makes again; 0 = mostTries
--- a/internal/fleetmodel/replica.go
+++ b/internal/fleetmodel/replica.go
@@ -32,7 +32,7 @@
 	// A reader's.
 	rate    float64 // tokens a second
 	waiting []*call
-	working *call
+	working []*call // read together
 	kept    map[textKey]*keep
 	keptSum float64
 
@@ -68,9 +68,11 @@
 		kept: map[textKey]*keep{}, entry: logic.ServerEntry{ID: fmt.Sprintf("%s-%x", kind, m.rnd.Uint32()), Kind: kind,
 			Zone: zoneName(zone), Cell: cell, Weight: 1}}
 	if role == logic.Reader {
-		s.rate, s.queueMax, s.memory = m.between(readSlow, readFast), 40, 215000
+		e := m.day.site().reader
+		s.rate, s.queueMax, s.memory = m.between(e.slowest, e.fastest), e.queue, e.memory
 	} else {
-		s.slots, s.queueMax, s.memory = 80, 25, 150000
+		e := m.day.site().writer
+		s.slots, s.queueMax, s.memory = e.slots, e.queue, e.memory
 	}
 	if !warm {
 		s.restart()
@@ -93,9 +95,7 @@
 	s.up = false
 	s.life, s.conns = s.life+1, 0
 	lost := append(slices.Clone(s.waiting), s.running...)
-	if s.working != nil {
-		lost = append(lost, s.working)
-	}
+	lost = append(lost, s.working...)
 	s.waiting, s.running, s.working, s.used = nil, nil, nil, 0
 	s.change++
 	for _, c := range lost {
@@ -103,13 +103,6 @@
 	}
 }
 
-// Tokens that a warm reader reads in a second, at the slowest and at the fastest. Low against those of sites, as the
-// model leaves out what makes long prompts cost more than their length.
-const (
-	readSlow = 7000
-	readFast = 8800
-)
-
 // capacity is the part of its full speed that the replica has now.
 func (s *replica) capacity() float64 {
 	if s.slow > 0 {
@@ -180,30 +173,47 @@
 func (s *replica) next() {
 	if s.role == logic.Writer {
 		s.write()
-	} else if s.working == nil && len(s.waiting) > 0 {
-		s.working, s.waiting = s.waiting[0], s.waiting[1:]
-		s.read(s.working)
+	} else if len(s.working) == 0 && len(s.waiting) > 0 {
+		s.read()
 	}
 }
 
 // ---- reading ----
 
-func (s *replica) read(c *call) {
-	found := s.find(c.q)
-	took := s.owed + 0.004 + (c.q.prompt-found)/(s.rate*s.capacity())
+// read begins with what has waited the longest, and with what fits beside it into a batch.
+func (s *replica) read() {
+	engine := s.m.day.site().reader
+	took, tokens := s.owed+engine.overhead, 0.0
 	s.owed = 0
-	s.m.report.read(c.q.prompt-found, c.q.prompt)
+	var batch []*call
+	var found []float64
+	for len(s.waiting) > 0 {
+		c := s.waiting[0]
+		kept := s.find(c.q)
+		anew := c.q.prompt - kept
+		if len(batch) > 0 && tokens+anew > engine.batch {
+			break
+		}
+		s.waiting = s.waiting[1:]
+		batch, found, tokens = append(batch, c), append(found, kept), tokens+anew
+		took += (anew/s.rate + engine.pairs*anew*(c.q.prompt+kept)/2e6) / s.capacity()
+		s.m.report.read(anew, c.q.prompt)
+	}
+	s.working = batch
+	life := s.life
 	s.m.after(seconds(took), func() {
-		if s.working != c {
+		if s.life != life {
 			return // it has died since
 		}
 		s.working = nil
-		s.remember(c.q)
-		if c.over {
-			s.m.report.Wasted++
-		} else {
-			c.q.at = s
-			c.end(logic.ReadDone, int64(found), false)
+		for i, c := range batch {
+			s.remember(c.q)
+			if c.over {
+				s.m.report.Wasted++
+			} else {
+				c.q.at = s
+				c.end(logic.ReadDone, int64(found[i]), false)
+			}
 		}
 		s.next()
 	})
@@ -253,7 +263,8 @@
 
 // step is the seconds that a token takes each answer that runs.
 func (s *replica) step() float64 {
-	return (0.014 + 0.0002*float64(len(s.running)) + 0.00005*s.used/1000) / s.capacity()
+	e := s.m.day.site().writer
+	return (e.step + e.perAnswer*float64(len(s.running)) + e.perKToken*s.used/1000) / s.capacity()
 }
 
 // advance books what the running answers have got since the last change.
