Wait for reads by their deviation where routers see little, and let newcomers share a text's homes

Attempts given up or timed out at half of the deadline lost their places in it. Patience is the usual time and four deviations now (as RFC 6298), where routers see little. A newcomer's part of a text was cut by all of the text's traffic, though it is one of several homes: by its part of that now (roll: half of the readers were idle, others at 0.7 to 1.1).

--- a/logic/placement.go
+++ b/logic/placement.go
@@ -28,7 +28,7 @@
 	if l.sparse() && len(homes) > 0 {
 		home := homes[0].at
 		kept, gone := l.settled(r, readers)
-		joins := l.joins(r, home, readers)
+		joins := l.joins(r, home, readers, len(homes))
 		if kept != nil && (!joins || unit(mix(r.Session+2)) < gone) { // few leave a reader that is still there
 			home, joins = kept, false
 		}
--- a/logic/readrate.go
+++ b/logic/readrate.go
@@ -1,6 +1,9 @@
 package logic
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Estimates of read rates and queues at readers.
 
@@ -53,6 +56,7 @@
 	s.extra += 0.5 * (extra - s.extra)
 	l.extra += usualShare * (extra - l.extra)
 	s.rateAt, l.extraAt = l.now, l.now
+	l.deviation += usualShare * (math.Abs(took.Seconds()-l.usual) - l.deviation)
 	l.usual += usualShare * (took.Seconds() - l.usual)
 	if kept < r.claim/2 { // caught short: a flush, an eviction, an unseen restart; what was noted before is void
 		s.since = max(s.since, r.sentAt)
--- a/logic/request.go
+++ b/logic/request.go
@@ -70,7 +70,7 @@
 	until := r.deadline
 	half := (r.deadline - l.now) / 2
 	if r.attempts+1 < l.set.MaxAttempts && (r.class.Repeat == Safe || p == reading && (r.class.Repeat == Keyed || l.set.CancelEnds)) &&
-		half.Seconds() > l.patience(expected) {
+		half.Seconds() > l.patience(expected, false) {
 		until = l.now + half
 	}
 	r.at, r.sentAt, r.phase, r.expected, r.cancelled = s, l.now, p, expected, false
--- a/logic/retry.go
+++ b/logic/retry.go
@@ -6,6 +6,7 @@
 	retryShare    = 0.2  // further attempts by choice, as a share of arrivals ...
 	retryBurst    = 10.0 // ... and what may be saved up
 	overdueFactor = 4.0  // an attempt is overdue after this multiple of the expected
+	deviations    = 4.0  // of the time that reads took lately, added to the usual time: as for the retransmission timer of RFC 6298
 	overdueAim    = 0.25 // and never before this share of the shortest aim
 )
 
@@ -28,9 +29,15 @@
 
 // patience is how long an attempt may take before it is overdue. An attempt cut shorter would time out while
 // its server is well, and a fleet of impatient clients would become a storm of attempts.
-// Where a server is heard of seldom, the usual time of all reads lately tells more than its own silence.
-func (l *Router) patience(expected float64) float64 {
-	return max(l.overdue, overdueFactor*max(expected, l.usual))
+// Where a server is heard of seldom, the usual time of all reads lately tells more than its own silence. A router that sees little knows
+// nothing of queues, where a read behind a long prompt takes many times as long as most: their deviation counts there. What was passed by
+// later attempts stands behind nothing.
+func (l *Router) patience(expected float64, passed bool) float64 {
+	usual := l.usual
+	if l.sparse() && !passed {
+		usual += deviations * l.deviation
+	}
+	return max(l.overdue, overdueFactor*max(expected, usual))
 }
 
 // checkOverdue gives up on an attempt that takes far longer than foreseen at a server that has said nothing
@@ -40,7 +47,7 @@
 	age := (l.now - r.sentAt).Seconds()
 	s := r.at
 	passed := s.passed > r.sentAt
-	if r.cancelled || age < l.patience(r.expected) || s.heard >= r.sentAt && !passed {
+	if r.cancelled || age < l.patience(r.expected, passed) || s.heard >= r.sentAt && !passed {
 		return
 	}
 	if !passed && l.now >= s.backAt {
--- a/logic/router.go
+++ b/logic/router.go
@@ -26,35 +26,36 @@
 
 // Router decides for one router process. It is not safe for concurrent use.
 type Router struct {
-	set      Settings
-	seed     uint64
-	classes  map[string]*classState
-	tenants  map[string]*tenantState
-	servers  map[string]*server
-	order    []*server // in order of first listing
-	table    map[tableKey][]holding
-	requests map[string]*request
-	bySeq    map[uint64]*request
-	open     []*request // in order of arrival
-	seq      uint64
-	now      time.Duration
-	out      []Action
-	ticking  bool
-	watching bool
-	swept    time.Duration
-	average  float64
-	retries  float64
-	popular  map[uint64]decayed // arrivals by shared beginning, or by session
-	arrivals decayed
-	came     decayed                  // the same with the memory of rates
-	tries    map[tryKey]time.Duration // when a request was first seen
-	borne    map[string]float64       // requests a second that a warm server of a kind, of weight 1, bore for this router when one was last there
-	overdue  float64                  // seconds
-	held     float64                  // tokens of all our writes, and the memory of all listed writers
-	memory   float64
-	usual    float64 // seconds that reads lately took
-	extra    float64 // seconds that they waited beyond what was known here, last at extraAt
-	extraAt  time.Duration
+	set       Settings
+	seed      uint64
+	classes   map[string]*classState
+	tenants   map[string]*tenantState
+	servers   map[string]*server
+	order     []*server // in order of first listing
+	table     map[tableKey][]holding
+	requests  map[string]*request
+	bySeq     map[uint64]*request
+	open      []*request // in order of arrival
+	seq       uint64
+	now       time.Duration
+	out       []Action
+	ticking   bool
+	watching  bool
+	swept     time.Duration
+	average   float64
+	retries   float64
+	popular   map[uint64]decayed // arrivals by shared beginning, or by session
+	arrivals  decayed
+	came      decayed                  // the same with the memory of rates
+	tries     map[tryKey]time.Duration // when a request was first seen
+	borne     map[string]float64       // requests a second that a warm server of a kind, of weight 1, bore for this router when one was last there
+	overdue   float64                  // seconds
+	held      float64                  // tokens of all our writes, and the memory of all listed writers
+	memory    float64
+	usual     float64 // seconds that reads lately took
+	deviation float64 // of that, on average
+	extra     float64 // seconds that they waited beyond what was known here, last at extraAt
+	extraAt   time.Duration
 }
 
 // New makes a Router, or says which setting is wrong.
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -25,11 +25,12 @@
 // sparse tells whether this router, one of many, sees too little of the fleet to know its part of it.
 func (l *Router) sparse() bool { return l.set.Siblings > shareDoubt }
 
-// joins tells whether a session is among those that a young reader takes whose home it is. It gets the part of them
-// that its warmth bears, the same at all routers whatever they have seen, less of texts that crowd, and none more than
-// two turns ahead. Its turns are counted up to now, as it is a candidate.
-func (l *Router) joins(r *request, s *server, readers []*server) bool {
-	part := coldPart * l.set.FallMultiple * l.warmth(s) / max(l.crowd(r, readers, crowdDoubt), 1)
+// joins tells whether a session is among those that a young reader takes whose home it is, one of so many homes of its text. It gets the
+// part of them that its warmth bears, the same at all routers whatever they have seen, less of texts that crowd beyond what their other
+// homes take, and none more than two turns ahead. Its turns are counted up to now, as it is a candidate.
+func (l *Router) joins(r *request, s *server, readers []*server, homes int) bool {
+	crowd := l.crowd(r, readers, crowdDoubt) / float64(homes)
+	part := coldPart * l.set.FallMultiple * l.warmth(s) / max(crowd, 1)
 	return l.young(s) && s.turns >= -1 && unit(mix(r.Session+1)^s.hash) < part
 }
 
