Probe two readers before a read where routers see little of the fleet

So the first choice and the next best reader are probed, and the read goes to the one that answers; the first may take 1% of the aim longer, and none is waited for over a tenth of it.

--- a/internal/agree/keys.go
+++ b/internal/agree/keys.go
@@ -43,6 +43,7 @@
 	{"limits.try_limit", Harm, "attempts are summed over the fleet"},
 	{"limits.max_open", Harm, "a limit"},
 	{"limits.cancel", Harm, "whether an attempt may be given up"},
+	{"limits.probes", Harm, "probes are summed over the fleet"},
 	{"limits.retry_after", Free, "what clients are told"},
 	{"limits.max_retry_after_us", Free, "what clients are told"},
 	{"limits.conn_idle_us", Free, "what is known of the machines"},
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -12,7 +12,7 @@
  "known":{"version":4,"full":true,"servers":[{"id":"s","addr":"a:1","zone":"z","kind":"p","cell":1,"state":"in_service","weight":1}]},
  "settings":{"siblings":3,"host_types":["p","d"],"zone":"z",
   "family_info":{"duty_by_kind":["read","write"],"kv_tokens":[100,200],"let_go_by_us":500000,"token_aim_us":[60000.0]},
-  "limits":{"try_limit":6,"cancel":true,"conn_idle_us":30000000},
+  "limits":{"try_limit":6,"cancel":true,"probes":true,"conn_idle_us":30000000},"prices":{"probe":0.0032},
   "services":[{"name":"c","goal_time_us":1500000,"deadline_us":6000000,"repeat":"idempotent","credit":3.0}]}}`
 
 func none(string) string { return "" }
@@ -25,12 +25,15 @@
 	}
 	flat, err := Settings(Values{"siblings": "3", "host_types": "p,d", "zone": "z", "family_info.duty_by_kind": "read,write",
 		"family_info.kv_tokens": "100,200", "family_info.let_go_by_us": "500000", "family_info.token_aim_us": "60000.0",
-		"limits.try_limit": "6", "limits.cancel": "true", "limits.conn_idle_us": "30000000", "services.count": "1",
+		"limits.try_limit": "6", "limits.cancel": "true", "limits.probes": "true", "prices.probe": "0.0032", "limits.conn_idle_us": "30000000", "services.count": "1",
 		"services.0.name": "c", "services.0.goal_time_us": "1500000", "services.0.deadline_us": "6000000",
 		"services.0.repeat": "idempotent", "services.0.credit": "3.0"})
 	if err != nil || !reflect.DeepEqual(c.Settings, flat) {
 		t.Errorf("%v\n%+v\n%+v", err, c.Settings, flat)
 	}
+	if !flat.CanProbe || flat.ProbePrice != 0.0032 {
+		t.Errorf("probes: %v at %v", flat.CanProbe, flat.ProbePrice)
+	}
 	if c.Seed != 0x92094eb940cf389a || c.Limits != (Limits{1, 192, 1024}) || c.Known.Version != 4 {
 		t.Errorf("got %+v", c)
 	}
@@ -49,7 +52,8 @@
 		{`"siblings":3`, `"siblings":"few"`, "settings.siblings"},
 		{`"siblings":3,`, ``, "settings.siblings"},
 		{`"siblings":3`, `"siblings":0`, "settings.siblings"},
-		{`"siblings":3`, `"siblings":3,"prices":{"cross_zone":-0.1}`, "settings.prices.cross_zone"},
+		{`"probe":0.0032`, `"cross_zone":-0.1`, "settings.prices.cross_zone"},
+		{`"probes":true`, `"probes":"often"`, "settings.limits.probes"},
 		{`["read","write"]`, `["read","sing"]`, "settings.family_info.duty_by_kind"},
 		{`"try_limit":6`, `"try_limit":0`, "MaxAttempts"},
 		{`"name":"c",`, ``, "settings.services.0.name"},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -149,6 +149,8 @@
 	s.CrossZone = c.num("prices.cross_zone")
 	s.ReadInPlace = c.flag("family_info.read_in_place")
 	s.CanCancel = c.flag("limits.cancel")
+	s.CanProbe = c.flag("limits.probes")
+	s.ProbePrice = c.num("prices.probe")
 	s.ListOnRequest = c.val["registry_mode"] == "on_request"
 	s.MaxAttempts = int(c.num("limits.try_limit"))
 	if c.flag("limits.retry_after") {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -88,6 +88,12 @@
 	Release(id string, addrs []string)
 }
 
+// Prober asks replicas whether they are well.
+type Prober interface {
+	// Probe asks the replica at addr and calls then once, from any goroutine, with Delivered or what went wrong. It does not block.
+	Probe(addr string, then func(logic.Outcome))
+}
+
 // Clock tells the time. Only spans between its readings count.
 type Clock func() time.Time
 
@@ -100,6 +106,7 @@
 type Dispatcher struct {
 	Phases *Phases
 	Counts *Counts
+	Prober Prober // set before Run; nil: no replica answers probes
 
 	set      logic.Settings
 	router   *logic.Router
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -42,6 +42,9 @@
 		return
 	case logic.Watch: // discovery is watched all the time
 		return
+	case logic.Probe:
+		d.probe(a.Server)
+		return
 	case logic.Release:
 		d.release(a.RequestID, d.holderOf(a.RequestID))
 		return
--- a/internal/fleetmodel/client.go
+++ b/internal/fleetmodel/client.go
@@ -108,6 +108,7 @@
 var BatchingSite = Site{settings: func() logic.Settings {
 	set := firstSite.settings()
 	set.Kinds = []logic.Kind{{Name: "reader", Role: logic.Reader, MemoryTokens: 305000}, {Name: "writer", Role: logic.Writer, MemoryTokens: 765000}}
+	set.CanProbe, set.ProbePrice = true, 0.0032
 	for i := range set.Classes {
 		set.Classes[i].Aim, set.Classes[i].AimPer1K = 1200*time.Millisecond, 84*time.Millisecond
 	}
--- a/internal/fleetmodel/replica.go
+++ b/internal/fleetmodel/replica.go
@@ -33,6 +33,7 @@
 	rate    float64 // tokens a second
 	waiting []*call
 	working []*call // read together
+	probes  []*probe
 	kept    map[textKey]*keep
 	keptSum float64
 
@@ -96,7 +97,10 @@
 	s.life, s.conns = s.life+1, 0
 	lost := append(slices.Clone(s.waiting), s.running...)
 	lost = append(lost, s.working...)
-	s.waiting, s.running, s.working, s.used = nil, nil, nil, 0
+	for _, p := range s.probes {
+		p.end(logic.ConnectFailed)
+	}
+	s.waiting, s.running, s.working, s.probes, s.used = nil, nil, nil, nil, 0
 	s.change++
 	for _, c := range lost {
 		c.end(logic.ConnectionLost, 0, false)
@@ -159,6 +163,51 @@
 	m.report.Fall = max(m.report.Fall, float64(n)/(allowed+2*math.Sqrt(allowed)+2))
 }
 
+// probe is a question that is out to a reader. It waits its turn behind what was there before it.
+type probe struct {
+	behind *call
+	over   bool
+	then   func(logic.Outcome)
+}
+
+// probeTime is how long a replica lets a probe wait.
+const probeTime = 250 * time.Millisecond
+
+func (p *probe) end(out logic.Outcome) {
+	if !p.over {
+		p.over = true
+		p.then(out)
+	}
+}
+
+// ask takes a probe.
+func (s *replica) ask(p *probe) {
+	busy := append(slices.Clone(s.working), s.waiting...)
+	switch {
+	case !s.up:
+		p.end(logic.ConnectFailed)
+	case s.draining:
+		p.end(logic.Full)
+	case len(busy) == 0:
+		p.end(logic.Delivered)
+	default:
+		p.behind = busy[len(busy)-1]
+		s.probes = append(s.probes, p)
+		s.m.after(probeTime, func() { p.end(logic.Full) })
+	}
+}
+
+// answerProbes answers those that stood behind what has been read.
+func (s *replica) answerProbes(read []*call) {
+	s.probes = slices.DeleteFunc(s.probes, func(p *probe) bool {
+		turn := slices.Contains(read, p.behind) || !slices.Contains(s.waiting, p.behind) && !slices.Contains(s.working, p.behind)
+		if turn {
+			p.end(logic.Delivered)
+		}
+		return turn || p.over
+	})
+}
+
 // drop takes out a call that is given up: one that waits, or runs at a writer. A read that runs goes on.
 func (s *replica) drop(c *call) {
 	s.waiting = slices.DeleteFunc(s.waiting, func(x *call) bool { return x == c })
@@ -206,6 +255,7 @@
 			return // it has died since
 		}
 		s.working = nil
+		s.answerProbes(batch)
 		for i, c := range batch {
 			s.remember(c.q)
 			if c.over {
--- a/internal/fleetmodel/report.go
+++ b/internal/fleetmodel/report.go
@@ -33,6 +33,7 @@
 	Full      int     // attempts turned away as full
 	Wasted    int     // reads that ran to their end for nobody
 	Dials     int     // new connections
+	Probes    int     // that routers sent
 	Unplaced  int     // and those that found the replica gone or every place taken
 	Broken    int     // streams cut by the death of their writer
 	anew, all float64 // tokens read, and of all prompts read
--- a/internal/fleetmodel/router.go
+++ b/internal/fleetmodel/router.go
@@ -109,6 +109,10 @@
 		m.after(a.After, func() { p.handle(&logic.Event{Kind: logic.TimerFired, Tag: a.Tag}) })
 		return
 	}
+	if a.Kind == logic.Probe {
+		p.probe(m.byID[a.Server])
+		return
+	}
 	q := p.open[a.RequestID]
 	if q == nil {
 		return
@@ -136,6 +140,17 @@
 	}
 }
 
+// probe asks a replica over a new connection, and hears of it two hops later.
+func (p *process) probe(s *replica) {
+	m := p.r.m
+	m.report.Probes++
+	m.after(dialTime+hop, func() {
+		s.ask(&probe{then: func(out logic.Outcome) {
+			m.after(hop, func() { p.handle(&logic.Event{Kind: logic.Probed, Server: s.entry.ID, Outcome: out}) })
+		}})
+	})
+}
+
 func (p *process) close(q *ask) {
 	if q.out == nil {
 		delete(p.open, q.id)
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -55,6 +55,7 @@
 		return nil, err
 	}
 	s.core.Counts = counts
+	s.core.Prober = replica.Prober{Pool: pool}
 	if licence != nil {
 		s.core.Under(licence)
 	}
--- a/internal/replica/release.go
+++ b/internal/replica/release.go
@@ -101,19 +101,25 @@
 }
 
 func (l *Releaser) call(addr, id string) error {
-	until := time.Now().Add(releaseTry)
+	_, err := l.pool.call(addr, fasthttp.MethodDelete, "/bootstrap/rooms/"+id, releaseTry)
+	return err
+}
+
+// call makes a call without a body, which is no attempt, and gives the status of its answer.
+func (p *Pool) call(addr, method, path string, limit time.Duration) (status int, err error) {
+	until := time.Now().Add(limit)
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
-	c, err := l.pool.get(ctx, addr, false)
+	c, err := p.get(ctx, addr, false)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	_ = c.SetDeadline(until) // a failure shows in the write
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodDelete)
-	req.SetRequestURI("/bootstrap/rooms/" + id)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
 	req.Header.SetHost(addr)
 	bw := bufio.NewWriter(c)
 	err = req.Write(bw)
@@ -124,9 +130,9 @@
 		err = resp.ReadLimitBody(c.br, smallAnswer)
 	}
 	if err != nil || resp.ConnectionClose() {
-		l.pool.drop(c)
-		return err
+		p.drop(c)
+	} else {
+		p.put(c)
 	}
-	l.pool.put(c)
-	return nil
+	return resp.StatusCode(), err
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -528,7 +528,7 @@
 // Action writes one action of an instance.
 func (w *Writer) Action(instance int, a *logic.Action) error {
 	words := [...]string{logic.Send: "PASS_ON", logic.Refuse: "BOUNCE", logic.Fail: "REPORT_FAILURE",
-		logic.Release: "DISCARD", logic.Cancel: "REVOKE", logic.Wake: "WAKE_AT", logic.Watch: "LISTEN"}
+		logic.Release: "DISCARD", logic.Cancel: "REVOKE", logic.Wake: "WAKE_AT", logic.Watch: "LISTEN", logic.Probe: "ASK_LOAD"}
 	w.buf = append(w.buf[:0], words[a.Kind]...)
 	w.int("i", int64(instance))
 	if a.RequestID != "" {
@@ -540,6 +540,8 @@
 		if a.Until > 0 {
 			w.int("not_past_us", a.Until.Microseconds())
 		}
+	case logic.Probe:
+		w.text("host", a.Server)
 	case logic.Refuse:
 		if a.After > 0 {
 			w.int("pause_us", a.After.Microseconds())
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -48,7 +48,9 @@
 	c := l.chooseReader(r)
 	pause, no := l.refuses(r, c, over)
 	if !no {
-		l.start(r, c)
+		if !l.probe(r, c) {
+			l.start(r, c)
+		}
 	} else if s := l.inPlace(r); s != nil && !over {
 		l.sendWhole(r, s)
 	} else {
--- a/logic/events.go
+++ b/logic/events.go
@@ -17,7 +17,7 @@
 	Ended                          // RequestID, Server, Attempt, Took, Outcome, Over, Tokens, NoState, Report
 	Departed                       // RequestID: the client is gone
 	TimerFired                     // Tag
-	Probed                         // Server, Took, Outcome, Report: a probe's answer (never asked for)
+	Probed                         // Server, Took, Outcome, Report: a probe's answer
 	PlaceAnswered                  // RequestID, Server, Attempt: answer to a place held ahead (never asked for)
 )
 
@@ -120,10 +120,11 @@
 	Cancel                    // RequestID, Attempt
 	Wake                      // a TimerFired with Tag after After
 	Watch                     // subscribe to the list of servers
+	Probe                     // Server: ask whether it is well; the answer is Probed
 )
 
 func (k ActionKind) String() string {
-	return name(k, "send", "refuse", "fail", "release", "cancel", "wake", "watch")
+	return name(k, "send", "refuse", "fail", "release", "cancel", "wake", "watch", "probe")
 }
 
 // Action is one thing for the host to do.
--- /dev/null
+++ b/logic/probing.go
@@ -0,0 +1,106 @@
+package logic
+
+import "time"
+
+// Probing: a router that sees little of the fleet can't know the queues at its readers. Before a read it probes the reader of its choice and
+// the next best one. A probe waits in the server's queue, so a server that answers late is busy; the request goes to the reader that is not.
+
+const (
+	probeGraceShare = 0.01 // of the aim: so much longer the first choice may take than the second, as it may have kept more of the prompt
+	probeLimitShare = 0.1  // of the aim: a reader that has not answered by then has a queue
+	probeCostMost   = 0.02 // share of a request's worth that its probes may cost
+	probesEach      = 2
+)
+
+// probeTag marks the timers of requests that wait for probes; the rest of the tag is the request's number.
+const probeTag uint64 = 1 << 62
+
+// probe is a question that is out to a reader, and the choice that it is asked for.
+type probe struct {
+	choice   readChoice
+	answered bool
+	failed   bool
+}
+
+// probes tells whether readers are probed before a read.
+func (l *Router) probes() bool {
+	return l.set.CanProbe && l.sparse() && probesEach*l.set.ProbePrice <= probeCostMost
+}
+
+// probe asks the reader of the first choice and the next best one, and tells whether it has. Servers in slow start are asked nothing: what
+// they are sent counts against their budget.
+func (l *Router) probe(r *request, first readChoice) bool {
+	if !l.probes() || r.Resumed || first.at == nil || l.cold(first.at) {
+		return false
+	}
+	r.avoid = append(r.avoid, first.at)
+	second := l.chooseReader(r)
+	r.avoid = r.avoid[:len(r.avoid)-1]
+	if second.at == nil || second.at == first.at || l.cold(second.at) {
+		return false
+	}
+	r.phase = probing
+	r.probed = [probesEach]probe{{choice: first}, {choice: second}}
+	for _, p := range r.probed {
+		l.out = append(l.out, Action{Kind: Probe, Server: p.choice.at.ID})
+	}
+	l.wakeProbing(r, probeLimitShare)
+	return true
+}
+
+// wakeProbing has a request that waits for probes looked at again after a share of its aim.
+func (l *Router) wakeProbing(r *request, share float64) {
+	after := time.Duration(share * l.aimOf(r) * float64(time.Second))
+	l.out = append(l.out, Action{Kind: Wake, After: after, Tag: probeTag | r.seq})
+}
+
+// probed takes the answer to a probe. It names no request: all that wait for the server take it.
+func (l *Router) probeAnswered(ev *Event) {
+	for _, r := range l.open {
+		if r.phase != probing || r.ended {
+			continue
+		}
+		for i := range r.probed {
+			if p := &r.probed[i]; p.choice.at.ID == ev.Server && !p.answered && !p.failed {
+				p.answered = ev.Outcome == Delivered
+				p.failed = !p.answered
+				l.weighProbes(r)
+				break
+			}
+		}
+	}
+}
+
+// weighProbes goes on with a request as far as the answers to its probes tell where to.
+func (l *Router) weighProbes(r *request) {
+	first, second := &r.probed[0], &r.probed[1]
+	switch {
+	case first.answered:
+		l.startProbed(r, first.choice)
+	case second.answered && first.failed:
+		l.startProbed(r, second.choice)
+	case second.answered:
+		l.wakeProbing(r, probeGraceShare)
+	}
+}
+
+// probeTimer ends a request's wait for its probes.
+func (l *Router) probeTimer(r *request) {
+	if r.phase != probing || r.ended {
+		return
+	}
+	choice := r.probed[0].choice
+	if r.probed[1].answered {
+		choice = r.probed[1].choice
+	}
+	l.startProbed(r, choice)
+}
+
+// startProbed begins the read at the reader that the probes speak for, if it may still be sent to.
+func (l *Router) startProbed(r *request, c readChoice) {
+	r.phase = parked
+	if !c.at.listed || l.now < c.at.backAt {
+		c = l.chooseReader(r)
+	}
+	l.start(r, c)
+}
--- a/logic/request.go
+++ b/logic/request.go
@@ -15,6 +15,7 @@
 
 const (
 	parked    phase = iota // no attempt is out; waits for a server
+	probing                // no attempt is out; readers are being probed
 	reading                // an attempt at a reader is out
 	writing                // an attempt at a writer is out, nothing has come yet
 	streaming              // the answer runs
@@ -43,6 +44,7 @@
 	ranAt     *server // an attempt that may have run, or may be out yet
 	ranSince  time.Duration
 	avoid     []*server
+	probed    [probesEach]probe // while probing: the choices, the best first
 }
 
 // start sends a request to its reader. Where no reader can be had, one that reads in place takes it whole.
--- a/logic/router.go
+++ b/logic/router.go
@@ -100,6 +100,8 @@
 		l.attemptEnded(ev)
 	case Departed:
 		l.departed(ev.RequestID)
+	case Probed:
+		l.probeAnswered(ev)
 	case TimerFired:
 		l.timer(ev.Tag)
 	}
@@ -119,7 +121,9 @@
 	case tagWatch:
 		l.out = append(l.out, Action{Kind: Watch})
 	default:
-		if r := l.bySeq[tag]; r != nil && !r.ended && r.phase != streaming {
+		if r := l.bySeq[tag&^probeTag]; r != nil && tag&probeTag != 0 {
+			l.probeTimer(r)
+		} else if r != nil && !r.ended && r.phase != streaming {
 			l.giveUp(r, 0)
 		}
 	}
@@ -132,6 +136,7 @@
 	for i := 0; i < len(l.open); i++ {
 		switch r := l.open[i]; {
 		case r.ended:
+		case r.phase == probing: // its timer looks after it
 		case r.phase == parked:
 			l.unpark(r)
 		default:
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -86,6 +86,8 @@
 	OverShareWorth float64       // worth of what exceeds a tenant's share, as a fraction
 	ReadInPlace    bool          // a writer without a state reads the prompt itself
 	CanCancel      bool          // Cancel is allowed
+	CanProbe       bool          // Probe is allowed
+	ProbePrice     float64       // price of a probe for each request, as a share of its worth
 	CancelEnds     bool          // what was given up is over; else its read may go on, as the end of a connection may not come to the server
 	ListOnRequest  bool          // the list of servers comes only after Watch or Fetch
 	MaxAttempts    int           // sends for a request, at most
