--- a/logic/admission.go
+++ b/logic/admission.go
@@ -29,22 +29,22 @@
 	r.deadline = l.now + r.Remaining
 	l.requests[r.id], l.bySeq[r.seq] = r, r
 	try := tryKey{r.Session, r.PromptTokens} // a client's further try has used up some of the aim
-	if at, ok := l.tries[try]; !ok || l.now-at > class.Deadline {
-		l.tries[try] = l.now
+	if at, ok := l.firstSeen[try]; !ok || l.now-at > class.Deadline {
+		l.firstSeen[try] = l.now
 		if r.Again { // its first try was elsewhere
-			l.tries[try] -= class.Aim / 2
+			l.firstSeen[try] -= class.Aim / 2
 		}
 	}
-	r.first = l.tries[try]
+	r.first = l.firstSeen[try]
 	l.open = append(l.open, r)
 	l.out = append(l.out, Action{Kind: Wake, After: r.Remaining, Tag: r.seq})
-	l.retries = min(l.retries+retryShare, 1+retryShare*l.arrivals.add(l.now, 0, keyLife), retryBurst)
+	l.retryBudget = min(l.retryBudget+retryShare, 1+retryShare*l.arrivals.add(l.now, 0, keyLife), retryBurst)
 	s := l.popular[cmp.Or(r.Prefix, r.Session)]
 	s.add(l.now, 1, keyLife)
 	l.popular[cmp.Or(r.Prefix, r.Session)] = s
 	l.arrivals.add(l.now, 1, keyLife)
 	l.came.add(l.now, 1, rateMemory)
-	over := l.overShare(r)
+	over := l.overQuota(r)
 	c := l.chooseReader(r)
 	pause, no := l.refuses(r, c, over)
 	if !no {
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -355,7 +355,7 @@
 		moved, settled, joined, displaced := 0, 0, 0, 0
 		for key := range uint64(600) {
 			for _, s := range l.order { // what this router alone has seen is not what is asked here
-				s.turns = 1
+				s.coldCredit = 1
 			}
 			at := goes(changed+c.after, key)
 			if lost[was[key]] {
--- a/logic/health.go
+++ b/logic/health.go
@@ -30,7 +30,7 @@
 func (s *server) lane(r *request) lane { return s.lanes[laneOf(r)] }
 
 func (l *Router) failed(s *server) {
-	if s.fails == 0 && !l.young(s) {
+	if s.fails == 0 && !l.inSlowStart(s) {
 		s.failedAt = l.now
 	}
 	if s.fails == 0 || l.now >= s.backAt {
@@ -57,7 +57,7 @@
 
 // erring is the share of attempts that lately ended with an error at a server. Some err now and then for long, and
 // what may run once only is lost there.
-func (l *Router) erring(s *server) float64 {
+func (l *Router) errorRate(s *server) float64 {
 	return s.erred.add(l.now, 0, keyLife) / (s.tried.add(l.now, 0, keyLife) + errorDoubt)
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -299,7 +299,7 @@
 	for _, usual := range []float64{0.05, 0.6, 0} { // 0: a router that has just started, and no read has ended yet
 		l := newRouter(t, settings(), entry("r1", "r", 1), entry("w1", "w", 1))
 		if usual > 0 {
-			l.average, l.usual = 0.0001, usual
+			l.average, l.usualRead = 0.0001, usual
 		}
 		l.Handle(ms(1), arrival("q", 7, 9), nil)
 		cancel := find(l.Handle(ms(900), &Event{Kind: TimerFired, Tag: tagTick}, nil), Cancel)
@@ -412,7 +412,7 @@
 // A server that stands still for half a second among short reads is neither cancelled nor shut out.
 func TestStallIsNotSilence(t *testing.T) {
 	l := newRouter(t, settings(), entry("r1", "r", 1), entry("w1", "w", 1))
-	l.average, l.usual = 0.00005, 0.16
+	l.average, l.usualRead = 0.00005, 0.16
 	l.Handle(ms(1), arrival("q", 7, 9), nil)
 	if a := find(l.Handle(ms(600), &Event{Kind: TimerFired, Tag: tagTick}, nil), Cancel); a != nil || l.servers["r1"].fails > 0 {
 		t.Errorf("after 0.6 s: cancel %v, %d failures", a, l.servers["r1"].fails)
@@ -490,7 +490,7 @@
 	if len(l.servers) > 2*known || len(l.order) != len(l.servers) {
 		t.Errorf("%d servers are known, %d in order", len(l.servers), len(l.order))
 	}
-	for name, n := range map[string]int{"table": len(l.table), "popular": len(l.popular), "tries": len(l.tries),
+	for name, n := range map[string]int{"table": len(l.table), "popular": len(l.popular), "tries": len(l.firstSeen),
 		"requests": len(l.requests), "bySeq": len(l.bySeq), "open": len(l.open)} {
 		if n > 2*known {
 			t.Errorf("%s: %d entries", name, n)
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -8,44 +8,44 @@
 // Membership: the list of servers and what their zones and cells weigh.
 
 const (
-	pullMost = 3.0 // a reader is a home no more seldom than by this
+	homeWeightMost = 3.0 // a reader is a home no more seldom than by this
 )
 
 type server struct {
 	ServerEntry
-	role      Role
-	memory    float64
-	listed    bool
-	offAt     time.Duration // when it was last named as not to be used
-	waiting   []*request    // attempts out that have not begun to answer
-	heard     time.Duration
-	passed    time.Duration // the latest send that it has answered
-	fails     int
-	errors    int
-	tried     decayed       // attempts that ended with an answer or an error
-	erred     decayed       // and those with an error
-	failedAt  time.Duration // when fails began
-	backAt    time.Duration
-	lanes     map[laneKey]lane
-	hash      uint64  // of its ID
-	turns     float64 // sends that the cold rule leaves this router, earned up to turnsAt
-	turnsAt   time.Duration
-	rate      decayed // reads ended and streams begun
-	perToken  float64 // seconds a token, learned from reads, last at rateAt
-	extra     float64 // seconds that reads waited beyond that
-	rateAt    time.Duration
-	unread    int64
-	since     time.Duration // table entries older than this are of an earlier process
-	held      float64       // tokens of our own writes there
-	writes    int
-	crowd     float64 // readers for each writer in its cell or zone, beside the whole fleet's
-	zoneCrowd float64
-	pull      float64 // how readily a reader is a home
-	start     float64 // seconds to the first token, and when it was seen
-	startAt   time.Duration
-	report    Report
-	reportAt  time.Duration
-	sentTok   float64 // tokens sent since the report
+	role         Role
+	memory       float64
+	listed       bool
+	offAt        time.Duration // when it was last named as not to be used
+	waiting      []*request    // attempts out that have not begun to answer
+	heard        time.Duration
+	passed       time.Duration // the latest send that it has answered
+	fails        int
+	errors       int
+	tried        decayed       // attempts that ended with an answer or an error
+	erred        decayed       // and those with an error
+	failedAt     time.Duration // when fails began
+	backAt       time.Duration
+	lanes        map[laneKey]lane
+	hash         uint64  // of its ID
+	coldCredit   float64 // sends that the cold rule leaves this router, earned up to coldCreditAt
+	coldCreditAt time.Duration
+	rate         decayed // reads ended and streams begun
+	perToken     float64 // seconds a token, learned from reads, last at rateAt
+	extra        float64 // seconds that reads waited beyond that
+	rateAt       time.Duration
+	unread       int64
+	since        time.Duration // table entries older than this are of an earlier process
+	held         float64       // tokens of our own writes there
+	writes       int
+	crowd        float64 // readers for each writer in its cell or zone, beside the whole fleet's
+	zoneCrowd    float64
+	homeWeight   float64 // how readily a reader is a home
+	start        float64 // seconds to the first token, and when it was seen
+	startAt      time.Duration
+	report       Report
+	reportAt     time.Duration
+	sentTok      float64 // tokens sent since the report
 }
 
 func (l *Router) learnList(ev *Event) {
@@ -60,7 +60,7 @@
 	for _, e := range ev.Servers {
 		s := l.servers[e.ID]
 		if s == nil {
-			s = &server{heard: -1, turnsAt: -1, lanes: map[laneKey]lane{}}
+			s = &server{heard: -1, coldCreditAt: -1, lanes: map[laneKey]lane{}}
 			for i := range e.ID {
 				s.hash = mix(s.hash ^ uint64(e.ID[i]))
 			}
@@ -99,7 +99,7 @@
 func (l *Router) weighPlaces() {
 	l.memory = 0
 	for _, s := range l.order {
-		s.pull = 1
+		s.homeWeight = 1
 		if s.listed && s.role != Reader {
 			l.memory += max(s.memory, 1) * s.Weight
 		}
@@ -109,7 +109,7 @@
 		for _, s := range l.order {
 			for _, p := range []*placeSum{all, at(zones, s.Zone), at(cells, s.Cell)} {
 				if s.listed {
-					p[min(int(s.role), 1)] += s.Weight * s.pull
+					p[min(int(s.role), 1)] += s.Weight * s.homeWeight
 				}
 			}
 		}
@@ -118,7 +118,7 @@
 			s.zoneCrowd = crowding(zones[s.Zone])
 			s.crowd = max(s.zoneCrowd, crowding(cells[s.Cell]))
 			if s.role == Reader && pass == 0 {
-				s.pull = 1 / min(max(s.zoneCrowd, 1), pullMost)
+				s.homeWeight = 1 / min(max(s.zoneCrowd, 1), homeWeightMost)
 			}
 		}
 	}
@@ -132,7 +132,7 @@
 	for _, s := range l.order {
 		switch {
 		case (s.role == Reader) != readers || !s.listed || !l.allowed(r, s):
-		case l.now < s.lane(r).fullTill || l.young(s) && !l.coldAllows(s) && !(readers && l.sparse()):
+		case l.now < s.lane(r).fullTill || l.inSlowStart(s) && !l.coldAllows(s) && !(readers && l.seesLittle()):
 		case s.fails == 0 || len(s.waiting) == 0 && l.coldAllows(s) && l.now >= s.backAt:
 			well = append(well, s)
 		case len(s.waiting) == 0:
--- a/logic/placement.go
+++ b/logic/placement.go
@@ -25,20 +25,20 @@
 func (l *Router) chooseReader(r *request) (best readChoice) {
 	readers := l.candidates(r, true)
 	held, homes := l.matches(r), l.homes(r, readers)
-	if l.sparse() && len(homes) > 0 {
+	if l.seesLittle() && len(homes) > 0 {
 		home := homes[0].at
-		kept, gone := l.settled(r, readers)
-		joins := l.joins(r, home, readers, len(homes))
-		if kept != nil && (!joins || unit(mix(r.Session+2)) < gone) { // few leave a reader that is still there
-			home, joins = kept, false
+		kept, gone := l.previousHome(r, readers)
+		moves := l.movesToNewcomer(r, home, readers, len(homes))
+		if kept != nil && (!moves || unit(mix(r.Session+2)) < gone) { // few leave a reader that is still there
+			home, moves = kept, false
 		}
 		all := len(readers)
-		readers = slices.DeleteFunc(readers, func(s *server) bool { return l.young(s) && !(s == home && joins) })
+		readers = slices.DeleteFunc(readers, func(s *server) bool { return l.inSlowStart(s) && !(s == home && moves) })
 		if len(readers) < all {
 			homes = l.homes(r, readers)
 		}
-		if joins || kept != nil {
-			homes = append([]drawn{{at: home}}, homes...)
+		if moves || kept != nil {
+			homes = append([]ranked{{at: home}}, homes...)
 		}
 	}
 	for i, home := range homes { // others that know the list send the same key here
@@ -56,13 +56,13 @@
 	for _, s := range readers {
 		longest = max(longest, held[s].tokens)
 		rate := l.rateOf(s)
-		crowd = min(crowd, l.backlog(s, rate)*rate+l.hidden(s))
+		crowd = min(crowd, l.backlog(s, rate)*rate+l.unseenWait(s))
 	}
 	crowd = min(crowd/l.overdue, 1)
 	for _, s := range readers {
 		rate := l.rateOf(s)
 		c := readChoice{at: s, match: held[s], ahead: l.backlog(s, rate)}
-		c.wait = c.ahead*rate + l.hidden(s)
+		c.wait = c.ahead*rate + l.unseenWait(s)
 		// Below the threshold the document would move the missing prefix; it is read anew instead, at the
 		// same charge, and the reader becomes a further home.
 		c.rehome = longest > 0 && float64(longest) >= balancingThreshold*float64(c.match.tokens)
--- a/logic/probing.go
+++ b/logic/probing.go
@@ -24,7 +24,7 @@
 
 // probes tells whether readers are probed before a read.
 func (l *Router) probes() bool {
-	return l.set.CanProbe && l.sparse() && probesEach*l.set.ProbePrice <= probeCostMost
+	return l.set.CanProbe && l.seesLittle() && probesEach*l.set.ProbePrice <= probeCostMost
 }
 
 // probe asks the reader of the first choice and the next best one, and tells whether it has. Servers in slow start are asked nothing: what
--- a/logic/readrate.go
+++ b/logic/readrate.go
@@ -27,9 +27,9 @@
 	return rate
 }
 
-// hidden is the seconds that reads lately waited beyond our own tokens: what other routers have sent there. A
+// unseenWait is the seconds that reads lately waited beyond our own tokens: what other routers have sent there. A
 // reader not heard of lately counts as the mean of those heard.
-func (l *Router) hidden(s *server) float64 {
+func (l *Router) unseenWait(s *server) float64 {
 	mean := l.extra * fade(l.now-l.extraAt, queueMemory)
 	return mean + (s.extra-mean)*fade(l.now-s.rateAt, queueMemory)
 }
@@ -51,13 +51,13 @@
 	// A read of a few tokens tells of fixed costs rather than of the rate, so it counts little.
 	weight := min(2*tokens/(tokens+float64(r.PromptTokens)), 1)
 	s.perToken, l.average = follow(l.rateOf(s), x, weight), follow(l.average, x, weight)
-	s.extra = l.hidden(s)
+	s.extra = l.unseenWait(s)
 	extra := max(took.Seconds()-tokens*s.perToken, 0)
 	s.extra += 0.5 * (extra - s.extra)
 	l.extra += usualShare * (extra - l.extra)
 	s.rateAt, l.extraAt = l.now, l.now
-	l.deviation += usualShare * (math.Abs(took.Seconds()-l.usual) - l.deviation)
-	l.usual += usualShare * (took.Seconds() - l.usual)
+	l.readDeviation += usualShare * (math.Abs(took.Seconds()-l.usualRead) - l.readDeviation)
+	l.usualRead += usualShare * (took.Seconds() - l.usualRead)
 	if kept < r.claim/2 { // caught short: a flush, an eviction, an unseen restart; what was noted before is void
 		s.since = max(s.since, r.sentAt)
 	}
--- a/logic/request.go
+++ b/logic/request.go
@@ -72,13 +72,13 @@
 	until := r.deadline
 	half := (r.deadline - l.now) / 2
 	if r.attempts+1 < l.set.MaxAttempts && (r.class.Repeat == Safe || p == reading && (r.class.Repeat == Keyed || l.set.CancelEnds)) &&
-		half.Seconds() > l.patience(expected, false) {
+		half.Seconds() > l.overdueAfter(expected, false) {
 		until = l.now + half
 	}
 	r.at, r.sentAt, r.phase, r.expected, r.cancelled = s, l.now, p, expected, false
 	r.attempts++
 	s.waiting = append(s.waiting, r)
-	s.turns--
+	s.coldCredit--
 	if p == writing {
 		answer := outputGuess * float64(r.MaxOutput)
 		if hint := r.OutputHint.Seconds() / r.class.TokenAim.Seconds(); hint > 0 {
--- a/logic/retry.go
+++ b/logic/retry.go
@@ -32,10 +32,10 @@
 // Where a server is heard of seldom, the usual time of all reads lately tells more than its own silence. A router that sees little knows
 // nothing of queues, where a read behind a long prompt takes many times as long as most: their deviation counts there. What was passed by
 // later attempts stands behind nothing.
-func (l *Router) patience(expected float64, passed bool) float64 {
-	usual := l.usual
-	if l.sparse() && !passed {
-		usual += deviations * l.deviation
+func (l *Router) overdueAfter(expected float64, passed bool) float64 {
+	usual := l.usualRead
+	if l.seesLittle() && !passed {
+		usual += deviations * l.readDeviation
 	}
 	return max(l.overdue, overdueFactor*max(expected, usual))
 }
@@ -47,17 +47,17 @@
 	age := (l.now - r.sentAt).Seconds()
 	s := r.at
 	passed := s.passed > r.sentAt
-	if r.cancelled || age < l.patience(r.expected, passed) || s.heard >= r.sentAt && !passed {
+	if r.cancelled || age < l.overdueAfter(r.expected, passed) || s.heard >= r.sentAt && !passed {
 		return
 	}
 	if !passed && l.now >= s.backAt {
 		l.failed(s)
 	}
-	if !l.set.CanCancel || l.retries < 1 || r.attempts >= l.set.MaxAttempts ||
+	if !l.set.CanCancel || l.retryBudget < 1 || r.attempts >= l.set.MaxAttempts ||
 		r.class.Repeat != Safe && (r.phase == writing || r.class.Repeat == Unsafe && !l.set.CancelEnds) {
 		return
 	}
-	l.retries--
+	l.retryBudget--
 	l.cancel(r)
 }
 
--- a/logic/router.go
+++ b/logic/router.go
@@ -26,36 +26,36 @@
 
 // Router decides for one router process. It is not safe for concurrent use.
 type Router struct {
-	set       Settings
-	seed      uint64
-	classes   map[string]*classState
-	tenants   map[string]*tenantState
-	servers   map[string]*server
-	order     []*server // in order of first listing
-	table     map[tableKey][]holding
-	requests  map[string]*request
-	bySeq     map[uint64]*request
-	open      []*request // in order of arrival
-	seq       uint64
-	now       time.Duration
-	out       []Action
-	ticking   bool
-	watching  bool
-	swept     time.Duration
-	average   float64
-	retries   float64
-	popular   map[uint64]decayed // arrivals by shared beginning, or by session
-	arrivals  decayed
-	came      decayed                  // the same with the memory of rates
-	tries     map[tryKey]time.Duration // when a request was first seen
-	borne     map[string]float64       // requests a second that a warm server of a kind, of weight 1, bore for this router when one was last there
-	overdue   float64                  // seconds
-	held      float64                  // tokens of all our writes, and the memory of all listed writers
-	memory    float64
-	usual     float64 // seconds that reads lately took
-	deviation float64 // of that, on average
-	extra     float64 // seconds that they waited beyond what was known here, last at extraAt
-	extraAt   time.Duration
+	set           Settings
+	seed          uint64
+	classes       map[string]*classState
+	tenants       map[string]*tenantState
+	servers       map[string]*server
+	order         []*server // in order of first listing
+	table         map[tableKey][]holding
+	requests      map[string]*request
+	bySeq         map[uint64]*request
+	open          []*request // in order of arrival
+	seq           uint64
+	now           time.Duration
+	out           []Action
+	ticking       bool
+	watching      bool
+	swept         time.Duration
+	average       float64
+	retryBudget   float64
+	popular       map[uint64]decayed // arrivals by shared beginning, or by session
+	arrivals      decayed
+	came          decayed                  // the same with the memory of rates
+	firstSeen     map[tryKey]time.Duration // when a request was first seen
+	borne         map[string]float64       // requests a second that a warm server of a kind, of weight 1, bore for this router when one was last there
+	overdue       float64                  // seconds
+	held          float64                  // tokens of all our writes, and the memory of all listed writers
+	memory        float64
+	usualRead     float64 // seconds that reads lately took
+	readDeviation float64 // of that, on average
+	extra         float64 // seconds that they waited beyond what was known here, last at extraAt
+	extraAt       time.Duration
 }
 
 // New makes a Router, or says which setting is wrong.
@@ -65,16 +65,16 @@
 	}
 	l := emptyRouter(seed)
 	l.tune(set)
-	l.usual = l.overdue / overdueAim / overdueFactor // until reads tell, none is overdue before the shortest aim
+	l.usualRead = l.overdue / overdueAim / overdueFactor // until reads tell, none is overdue before the shortest aim
 	return l, nil
 }
 
 func emptyRouter(seed uint64) *Router {
 	return &Router{
-		seed: seed, seq: tagRequests, retries: 1,
+		seed: seed, seq: tagRequests, retryBudget: 1,
 		servers: map[string]*server{},
 		table:   map[tableKey][]holding{}, requests: map[string]*request{}, bySeq: map[uint64]*request{},
-		tries: map[tryKey]time.Duration{}, popular: map[uint64]decayed{}, borne: map[string]float64{},
+		firstSeen: map[tryKey]time.Duration{}, popular: map[uint64]decayed{}, borne: map[string]float64{},
 	}
 }
 
@@ -146,7 +146,7 @@
 	if l.now-l.swept > keyLife/4 {
 		l.swept = l.now
 		maps.DeleteFunc(l.popular, func(_ uint64, d decayed) bool { return l.now-d.at > keyLife })
-		maps.DeleteFunc(l.tries, func(_ tryKey, at time.Duration) bool { return l.now-at > keyLife })
+		maps.DeleteFunc(l.firstSeen, func(_ tryKey, at time.Duration) bool { return l.now-at > keyLife })
 		l.order = slices.DeleteFunc(l.order, func(s *server) bool {
 			old := !s.listed && len(s.waiting) == 0 && s.writes == 0 && l.now-s.offAt > keyLife
 			if old { // replaced by others, with other ids
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -7,14 +7,16 @@
 const (
 	coldSafety      = 0.5 // part of the allowed work that a cold server is sent
 	coldAloneSafety = 0.8 // and where no warm one of its kind could serve instead
-	coldPart        = 0.8 // and part that joins a young reader of what is at home there
+	coldPart        = 0.8 // and part of the sessions at home at a reader in slow start that move there
 )
 
-func (l *Router) young(s *server) bool { return s.Started > 0 && l.now < s.Started+l.set.RampTime }
+func (l *Router) inSlowStart(s *server) bool {
+	return s.Started > 0 && l.now < s.Started+l.set.RampTime
+}
 
 // cold tells whether a server may be cold: a young one, and one that failed, as it may come back unseen and
 // be pushed over by the first attempts of hundreds of routers.
-func (l *Router) cold(s *server) bool { return l.young(s) || s.fails > 0 }
+func (l *Router) cold(s *server) bool { return l.inSlowStart(s) || s.fails > 0 }
 
 // warmth is the part of its capacity that a cold server surely has: it may rise late, so the square is taken.
 func (l *Router) warmth(s *server) float64 {
@@ -22,21 +24,21 @@
 	return max(l.set.ColdFrom+(1-l.set.ColdFrom)*x*x, 0.05)
 }
 
-// sparse tells whether this router, one of many, sees too little of the fleet to know its part of it.
-func (l *Router) sparse() bool { return l.set.Siblings > shareDoubt }
+// seesLittle tells whether this router, one of many, sees too little of the fleet to know its part of it.
+func (l *Router) seesLittle() bool { return l.set.Siblings > shareDoubt }
 
-// joins tells whether a session is among those that a young reader takes whose home it is, one of so many homes of its text. It gets the
+// movesToNewcomer tells whether a session moves to its home where that is a reader in slow start, one of so many homes of its text. It gets the
 // part of them that its warmth bears, the same at all routers whatever they have seen, less of texts that crowd beyond what their other
-// homes take, and none more than two turns ahead. Its turns are counted up to now, as it is a candidate.
-func (l *Router) joins(r *request, s *server, readers []*server, homes int) bool {
-	crowd := l.crowd(r, readers, crowdDoubt) / float64(homes)
+// homes take, and none more than two sends ahead of its credit, which is counted up to now, as it is a candidate.
+func (l *Router) movesToNewcomer(r *request, s *server, readers []*server, homes int) bool {
+	crowd := l.demand(r, readers, demandDoubt) / float64(homes)
 	part := coldPart * l.set.FallMultiple * l.warmth(s) / max(crowd, 1)
-	return l.young(s) && s.turns >= -1 && unit(mix(r.Session+1)^s.hash) < part
+	return l.inSlowStart(s) && s.coldCredit >= -1 && unit(mix(r.Session+1)^s.hash) < part
 }
 
 // coldAllows keeps what all routers together send a cold server under the rule. What a warm server of its kind serves
-// for each arrival here stands for our part of a capacity and earns turns. Turns begin at a seeded part of one, so where
-// a part is far below one send a window, a few routers have their turn in each window.
+// for each arrival here stands for our part of a capacity and earns credit for sends. Credit begins at a seeded part of one, so where
+// a part is far below one send a window, a few routers may send in each window.
 func (l *Router) coldAllows(s *server) bool {
 	if !l.cold(s) {
 		return true
@@ -45,12 +47,12 @@
 	share, safety := l.shareOf(s)
 	part := safety * l.set.FallMultiple * l.warmth(s) * s.Weight * share * came * window / rateMemory.Seconds()
 	part = max(part, 1/float64(l.set.Siblings)) // one send a window by all, where nothing tells more
-	if s.turnsAt < max(s.Started, s.failedAt) {
-		s.turns, s.turnsAt = unit(l.seed^s.hash), l.now
+	if s.coldCreditAt < max(s.Started, s.failedAt) {
+		s.coldCredit, s.coldCreditAt = unit(l.seed^s.hash), l.now
 	}
-	s.turns = min(s.turns+part*(l.now-s.turnsAt).Seconds()/max(window, 0.001), max(part/2, 1))
-	s.turnsAt = l.now
-	return s.turns >= 1
+	s.coldCredit = min(s.coldCredit+part*(l.now-s.coldCreditAt).Seconds()/max(window, 0.001), max(part/2, 1))
+	s.coldCreditAt = l.now
+	return s.coldCredit >= 1
 }
 
 // shareOf is the part of each arrival here that a warm server of the kind of s, and of weight 1, takes, and how much of the allowed work
--- a/logic/tenants.go
+++ b/logic/tenants.go
@@ -10,7 +10,7 @@
 }
 
 // overShare books an arrival on its tenant and tells whether it exceeds this router's part of the share.
-func (l *Router) overShare(r *request) bool {
+func (l *Router) overQuota(r *request) bool {
 	t := l.tenants[r.Tenant]
 	if t == nil || t.rate <= 0 {
 		return false
--- a/logic/writer.go
+++ b/logic/writer.go
@@ -5,7 +5,7 @@
 // Choice of the writer for a read state.
 
 const (
-	tieSpread  = 0.1  // loads that differ by less are drawn among
+	tieSpread  = 0.1  // loads that differ by less are ranked among
 	nearMargin = 0.25 // a near writer may be this share of memory above the least
 )
 
@@ -20,7 +20,7 @@
 	if age := l.now - s.reportAt; s.reportAt > 0 && age < queueMemory && s.report.MemoryHeld >= 0 {
 		load += (max(s.report.MemoryHeld+s.sentTok/memory, s.held/memory) - load) * fade(age, queueMemory)
 	}
-	if l.cold(s) && !l.young(s) { // a young one is sent no more than its part anyway
+	if l.cold(s) && !l.inSlowStart(s) { // a young one is sent no more than its part anyway
 		load /= l.warmth(s)
 	}
 	return load
@@ -36,14 +36,14 @@
 }
 
 // chooseWriter gives a writer near the least load, in the state's cell if it can, else its zone. Near-ties
-// are drawn by seed, or all routers that know as little would pick the same. Where a cell or zone has more
+// are ranked by seed, or all routers that know as little would pick the same. Where a cell or zone has more
 // than its share of the reading, only its writers' part of the states stays: else they jam and others idle.
 func (l *Router) chooseWriter(r *request) *server {
 	writers := l.candidates(r, false)
 	least, draw := math.Inf(1), l.seed^mix(r.seq)
 	loads := make([]float64, len(writers))
 	for i, s := range writers {
-		loads[i] = l.load(s) + errorPrice*l.erring(s) + tieSpread*unit(draw^s.hash) + nearMargin*l.startWait(s)/l.overdue
+		loads[i] = l.load(s) + errorPrice*l.errorRate(s) + tieSpread*unit(draw^s.hash) + nearMargin*l.startWait(s)/l.overdue
 		least = min(least, loads[i])
 	}
 	stay := r.state != nil && unit(draw)*r.state.crowd < 1
@@ -56,7 +56,7 @@
 			continue
 		}
 		near := 0
-		if l.young(s) && r.state != nil && s.Zone == r.state.Zone { // it has a turn, and turns unused are lost
+		if l.inSlowStart(s) && r.state != nil && s.Zone == r.state.Zone { // it has credit, and credit unused is lost
 			near = 3
 		} else if stay && s.Cell == r.state.Cell {
 			near = 2
