--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -6,6 +6,8 @@
 	"math"
 	"math/rand"
 	"reflect"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -107,6 +109,10 @@
 	if a.Kind == Watch {
 		return
 	}
+	if a.Kind == Probe {
+		w.probe(a.Server)
+		return
+	}
 	p := w.reqs[a.RequestID]
 	if p == nil {
 		w.fail("%v names an unknown request", a)
@@ -139,6 +145,21 @@
 	}
 }
 
+// probe answers after a while, or never.
+func (w *world) probe(server string) {
+	e := w.entry(server)
+	if at, ok := w.stops[server]; ok {
+		w.fail("probe of %s, told to stop at %v", server, at)
+	}
+	if !w.set.CanProbe || e.Started > 0 && w.now < e.Started+w.set.RampTime {
+		w.fail("probe of %s, which started at %v", server, e.Started)
+	}
+	outcome := []Outcome{Delivered, Delivered, Full, ConnectFailed}[w.rnd.Intn(4)]
+	if w.rnd.Float64() < 0.9 {
+		w.after(ms(1+w.rnd.Intn(300)), func() { w.handle(&Event{Kind: Probed, Server: server, Outcome: outcome}) })
+	}
+}
+
 func (w *world) send(p *played, a Action) {
 	e := w.entry(a.Server)
 	switch {
@@ -374,6 +395,11 @@
 		"one router":      func(s *Settings) { s.Siblings = 1 },
 		"tenants":         func(s *Settings) { s.Tenants = []Tenant{{"t", 5}} },
 		"list on request": func(s *Settings) { s.ListOnRequest = true },
+		"probes":          func(s *Settings) { s.CanProbe, s.Siblings = true, 12 },
+		"probes, unsafe":  func(s *Settings) { s.CanProbe, s.Siblings, s.Classes[0].Repeat = true, 12, Unsafe },
+		"probes, keyed": func(s *Settings) {
+			s.CanProbe, s.Siblings, s.Classes[0].Repeat, s.Classes[0].Scope = true, 12, Keyed, SameCell
+		},
 		"no memory known": func(s *Settings) { s.Kinds[1].MemoryTokens = 0 },
 	}
 	for name, vary := range variants {
@@ -382,6 +408,10 @@
 			vary(&set)
 			for seed := range int64(6) {
 				a := play(t, set, seed)
+				probed := slices.ContainsFunc(a, func(line string) bool { return strings.Contains(line, Probe.String()) })
+				if probed != set.CanProbe {
+					t.Errorf("seed %d: probes %v, allowed %v", seed, probed, set.CanProbe)
+				}
 				if b := play(t, set, seed); !reflect.DeepEqual(a, b) {
 					t.Fatal("the same events gave other actions")
 				}
