Tell a shortage on this machine from a replica that can't be reached

By reading: EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL of socket and connect came to the module as failed connections, so that it left the replica alone. They are attempts that were not sent now, as where the pool has no room. What breaks after the last byte is told apart as before.

--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -192,7 +192,7 @@
 // left for reasons of our own tells nothing of the replica.
 func (a *attempt) failed(as logic.Outcome, err error) dispatch.Result {
 	switch {
-	case as == logic.ConnectFailed && (a.ctx.Err() != nil || errors.Is(err, errNoRoom) || errors.Is(err, errNoLeave)):
+	case as == logic.ConnectFailed && (a.ctx.Err() != nil || localShortage(err) || errors.Is(err, errNoLeave)):
 		as = logic.NotSent
 	case as == logic.ConnectFailed:
 	case errors.Is(a.ctx.Err(), context.Canceled):
