--- a/logic/retry.go
+++ b/logic/retry.go
@@ -30,11 +30,11 @@
 // patience is how long an attempt may take before it is overdue. An attempt cut shorter would time out while
 // its server is well, and a fleet of impatient clients would become a storm of attempts.
 // Where a server is heard of seldom, the usual time of all reads lately tells more than its own silence. A router that sees little knows
-// nothing of queues, where a read behind a long prompt takes many times as long as most: their deviation counts there. What was passed by
-// later attempts stands behind nothing.
+// nothing of queues, where a read behind a long prompt takes many times as long as most. Where a read usually takes so much of the aim that
+// one begun anew elsewhere would come late too, their deviation counts. What was passed by later attempts stands behind nothing.
 func (l *Router) overdueAfter(expected float64, passed bool) float64 {
 	usual := l.usualRead
-	if l.seesLittle() && !passed {
+	if l.seesLittle() && !passed && l.usualRead > l.overdue {
 		usual += deviations * l.readDeviation
 	}
 	return max(l.overdue, overdueFactor*max(expected, usual))
