--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -77,9 +77,7 @@
 		return n, nil
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.readAt = time.Now()
-	}
+	c.came(n)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.mayBeAnswered() {
 		if n, _ := c.arrived(p); n > 0 {
 			return n, nil
@@ -110,10 +108,15 @@
 		n, _, err = syscall.Recvfrom(fd, p, syscall.MSG_DONTWAIT)
 		return n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
 	})
+	c.came(n)
+	return max(n, 0), end
+}
+
+// came notes when bytes were read from the client.
+func (c *Conn) came(n int) {
 	if n > 0 {
 		c.readAt = time.Now()
 	}
-	return max(n, 0), end
 }
 
 // Left tells whether the client has ended the connection, whatever it sent before that. Nothing else may read meanwhile.
@@ -182,9 +185,7 @@
 			left := false
 			if len(c.ahead) < aheadMost {
 				n, err := c.Conn.Read(c.room())
-				if n > 0 {
-					c.readAt = time.Now()
-				}
+				c.came(n)
 				c.ahead = c.ahead[:len(c.ahead)+n]
 				left = err != nil
 			} else if left = c.hungUp(); !left {
--- a/internal/front/conn_test.go
+++ b/internal/front/conn_test.go
@@ -11,20 +11,8 @@
 // pair gives both ends of a client's connection that has passed a gate.
 func pair(t *testing.T) (client net.Conn, c *Conn) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	if client, err = net.Dial("tcp", ln.Addr().String()); err != nil {
-		t.Fatal(err)
-	}
-	tcp, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _, _ = client.Close(), tcp.Close() })
-	return client, NewGate(1, 1).enter(tcp)
+	sent, accepted := fill(t, 1, "")
+	return sent[0], NewGate(1, 1).enter(accepted[0])
 }
 
 // The time of a connection is over just as a request comes: on a resting one it has come, and is read; where a request has begun to come, it
--- a/logic/probing.go
+++ b/logic/probing.go
@@ -54,7 +54,7 @@
 	l.out = append(l.out, Action{Kind: Wake, After: after, Tag: probeTag | r.seq})
 }
 
-// probed takes the answer to a probe. It names no request: all that wait for the server take it.
+// probeAnswered takes the answer to a probe. It names no request: all that wait for the server take it.
 func (l *Router) probeAnswered(ev *Event) {
 	for _, r := range l.open {
 		if r.phase != probing || r.ended {
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -44,7 +44,7 @@
 		return true
 	}
 	window, came := l.set.FallTime.Seconds(), l.came.add(l.now, 0, rateMemory)
-	share, safety := l.shareOf(s)
+	share, safety := l.shareOf(s, came)
 	part := safety * l.set.FallMultiple * l.warmth(s) * s.Weight * share * came * window / rateMemory.Seconds()
 	part = max(part, 1/float64(l.set.Siblings)) // one send a window by all, where nothing tells more
 	if s.coldCreditAt < max(s.Started, s.failedAt) {
@@ -56,10 +56,9 @@
 }
 
 // shareOf is the part of each arrival here that a warm server of the kind of s, and of weight 1, takes, and how much of the allowed work
-// may go by it. A router that has
-// seen few arrivals presumes that they are shared evenly: over all routers that is right, while what each has seen served
-// itself starves newcomers where routers restart. While none of the kind is warm, it goes by what the last warm ones bore.
-func (l *Router) shareOf(s *server) (share, safety float64) {
+// may go by it. A router that has seen few arrivals presumes that they are shared evenly: over all routers that is right, while what each
+// has seen served itself starves newcomers where routers restart. While none of the kind is warm, it goes by what the last warm ones bore.
+func (l *Router) shareOf(s *server, came float64) (share, safety float64) {
 	var served, weight, role float64
 	for _, o := range l.order {
 		if o.listed && (o.role == Reader) == (s.role == Reader) {
@@ -77,7 +76,6 @@
 			safety = coldAloneSafety
 		}
 	}
-	came := l.came.add(l.now, 0, rateMemory)
 	doubt := max(shareDoubt-came, 0)
 	if s.role == Mixed { // what a kind gets beside others shows in time only
 		doubt = 0
