Log and count why attempts, connections and held states end

The incident's evidence names no cause of any end. Now the log has each attempt as it is sent, what carried it (a new connection or one idle for how long), why it was given up, each call to let go of state with its cause and holder, each client connection that this program ended, each signal and phase. No decision is changed. The book's counts stand in a file of their own; the wall time test names the place to which a span's rounding moved.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -78,7 +78,7 @@
 // overtime answers a request that the module has not answered by its deadline.
 func (d *Dispatcher) overtime(r *request) {
 	if !r.answered {
-		d.giveUp(r, Answer{Verdict: Failed, Reason: "deadline"})
+		d.giveUp(r, Answer{Verdict: Failed, Reason: "deadline"}, DeadlineOver)
 	}
 }
 
@@ -91,9 +91,9 @@
 }
 
 // giveUp answers a request over the module's head, which is told that it has gone.
-func (d *Dispatcher) giveUp(r *request, a Answer) {
+func (d *Dispatcher) giveUp(r *request, a Answer, cause Cause) {
 	d.answer(r, a)
-	d.cancelAll(r)
+	d.cancelAll(r, cause)
 	d.route(logic.Event{Kind: logic.Departed, RequestID: r.id})
 	d.settle(r)
 }
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"log"
 	"slices"
 	"sort"
-	"sync"
 	"time"
 
 	"standpulley/logic"
@@ -77,7 +75,7 @@
 		d.watchHeld(r) // also where the writer was silent: it may never have come for the state
 	}
 	if res.Left && !r.answered {
-		d.giveUp(r, Answer{Verdict: Left})
+		d.giveUp(r, Answer{Verdict: Left}, ClientGone)
 	}
 	if res.Lapsed {
 		d.lapsed(r) // before the module tries elsewhere: there is no leave anywhere
@@ -100,7 +98,7 @@
 	before := r.reached.Load()
 	d.after(time.Duration(heldPart*float64(d.set.ReleaseWithin)), func() {
 		if d.requests[r.id] == r && r.reached.Load() == before {
-			d.release(r.id, r.holder)
+			d.release(r.id, r.holder, FetchUnproven)
 		}
 	})
 }
@@ -117,7 +115,7 @@
 	if g.r.answered {
 		return
 	}
-	d.giveUp(g.r, Answer{Verdict: Left})
+	d.giveUp(g.r, Answer{Verdict: Left}, ClientGone)
 }
 
 // settle forgets a request that is answered and has no attempt out.
@@ -128,10 +126,10 @@
 		r.parcel = nil // its timers still know the request for a while, and must not keep its body
 		// Also behind an answer: the read may end on its replica after the fetch that let go of all the rest.
 		if r.loose {
-			d.release(r.id, r.holder)
+			d.release(r.id, r.holder, ReadUncertain)
 			// The read may end on its replica a moment after the first call has come there.
 			d.Phases.begin()
-			d.after(looseAgain, func() { d.release(r.id, r.holder); d.Phases.end() })
+			d.after(looseAgain, func() { d.release(r.id, r.holder, ReadUncertain); d.Phases.end() })
 		}
 		d.Phases.end()
 	}
@@ -141,8 +139,9 @@
 
 // release has all let go that is held for a request. Any replica will do: first the one that holds it, if that is known, as it is well
 // or nothing is held there any more; then those that are surest to be there, in service and long started.
-func (d *Dispatcher) release(id, holder string) {
-	d.Counts.released()
+func (d *Dispatcher) release(id, holder string, cause Cause) {
+	d.Counts.update(func(t *Totals) { t.Releases++ })
+	d.Counts.Count(StateReleased, cause, fmt.Sprintf("%s held at %q", id, holder))
 	all := make([]*Server, 0, len(d.servers))
 	for _, s := range d.servers {
 		all = append(all, s)
@@ -184,136 +183,3 @@
 	}
 	return addrs
 }
-
-// Counts is the book: what has been taken, sent and answered. It may be read from any goroutine.
-type Counts struct {
-	mu     sync.Mutex
-	totals Totals
-	recent []Line // a ring of the last final answers
-	next   int
-
-	classes map[string]*Results
-	open    int // requests that are owed an answer, or whose stream runs
-	written int // attempts whose last byte was written
-}
-
-// Results are the requests of a class by how they ended. A stream has ended well only with its last chunk.
-type Results struct{ Served, Refused, Failed int }
-
-// Figures are what operators ask for, since the program's start.
-type Figures struct {
-	Classes           map[string]Results
-	Open, Written     int
-	Listed, LeftAlone int // replicas in the list, and those of them that are avoided now
-}
-
-// result books how a request of a class ended.
-func (c *Counts) result(class string, v Verdict) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.classes == nil {
-		c.classes = map[string]*Results{}
-	}
-	r := c.classes[class]
-	if r == nil {
-		r = &Results{}
-		c.classes[class] = r
-	}
-	switch v {
-	case Served:
-		r.Served++
-	case Refused:
-		r.Refused++
-	case Failed:
-		r.Failed++
-	}
-}
-
-func (c *Counts) opened(by int) {
-	c.mu.Lock()
-	c.open += by
-	c.mu.Unlock()
-}
-
-// Totals are the sums since the start.
-type Totals struct {
-	Taken    int            `json:"taken"`
-	Verdicts map[string]int `json:"verdicts"`
-	Attempts int            `json:"attempts"`
-	Outcomes map[string]int `json:"outcomes"`
-	Releases int            `json:"releases"`
-}
-
-// Line is one final answer or attempt, for people.
-type Line struct {
-	At     time.Time `json:"at"`
-	ID     string    `json:"id"`
-	Class  string    `json:"class"`
-	Server string    `json:"server,omitempty"`
-	What   string    `json:"what"`
-	Took   string    `json:"took"`
-	Detail string    `json:"detail,omitempty"`
-}
-
-const recentLines = 200
-
-func (c *Counts) update(f func(t *Totals)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.totals.Verdicts == nil {
-		c.totals.Verdicts, c.totals.Outcomes = map[string]int{}, map[string]int{}
-	}
-	f(&c.totals)
-}
-
-func (c *Counts) taken(*request)        { c.update(func(t *Totals) { t.Taken++ }) }
-func (c *Counts) sent()                 { c.update(func(t *Totals) { t.Attempts++ }) }
-func (c *Counts) released()             { c.update(func(t *Totals) { t.Releases++ }) }
-func (c *Counts) ended(o logic.Outcome) { c.update(func(t *Totals) { t.Outcomes[o.String()]++ }) }
-func (c *Counts) answered(r *request, a Answer) {
-	c.update(func(t *Totals) { t.Verdicts[a.Verdict.String()]++ })
-	if r.class != nil && a.Verdict != Served { // that shows at the stream's end
-		c.result(r.class.Name, a.Verdict)
-	}
-	c.add(Line{ID: r.id, Class: r.ask.Class, What: a.Verdict.String(), Took: took(r.received), Detail: a.Reason})
-}
-
-func (c *Counts) note(r *request, at *attempt, out logic.Outcome, detail string) {
-	c.add(Line{ID: r.id, Class: r.ask.Class, Server: at.server, What: out.String(), Took: took(at.sentAt), Detail: detail})
-}
-
-func took(since time.Time) string { return time.Since(since).Round(100 * time.Microsecond).String() }
-
-func (c *Counts) add(l Line) {
-	l.At = time.Now()
-	log.Printf("%s %s %s %s %s %s", l.ID, l.Class, l.What, l.Took, l.Server, l.Detail)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.recent) < recentLines {
-		c.recent = append(c.recent, l)
-	} else {
-		c.recent[c.next] = l
-	}
-	c.next = (c.next + 1) % recentLines
-}
-
-// Snapshot gives the totals and the last lines, the oldest first.
-func (c *Counts) Snapshot() (Totals, []Line) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.totals
-	t.Verdicts, t.Outcomes = copyOf(t.Verdicts), copyOf(t.Outcomes)
-	var lines []Line
-	if len(c.recent) == recentLines {
-		lines = append(lines, c.recent[c.next:]...)
-	}
-	return t, append(lines, c.recent[:min(c.next, len(c.recent))]...)
-}
-
-func copyOf(m map[string]int) map[string]int {
-	c := make(map[string]int, len(m))
-	for k, v := range m {
-		c[k] = v
-	}
-	return c
-}
--- /dev/null
+++ b/internal/dispatch/counts.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"fmt"
+	"log"
+	"sync"
+	"time"
+
+	"standpulley/logic"
+)
+
+// Counts is the book: what has been taken, sent and answered. It may be read from any goroutine.
+type Counts struct {
+	mu     sync.Mutex
+	totals Totals
+	recent []Line // a ring of the last final answers
+	next   int
+
+	classes map[string]*Results
+	open    int // requests that are owed an answer, or whose stream runs
+	written int // attempts whose last byte was written
+	causes  map[Event]map[Cause]int
+}
+
+// Results are the requests of a class by how they ended. A stream has ended well only with its last chunk.
+type Results struct{ Served, Refused, Failed int }
+
+// Figures are what operators ask for, since the program's start.
+type Figures struct {
+	Classes           map[string]Results
+	Open, Written     int
+	Listed, LeftAlone int // replicas in the list, and those of them that are avoided now
+	Held              int // requests for which the first stage holds something, or may
+	Causes            map[Event]map[Cause]int
+}
+
+// result books how a request of a class ended.
+func (c *Counts) result(class string, v Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.classes == nil {
+		c.classes = map[string]*Results{}
+	}
+	r := c.classes[class]
+	if r == nil {
+		r = &Results{}
+		c.classes[class] = r
+	}
+	switch v {
+	case Served:
+		r.Served++
+	case Refused:
+		r.Refused++
+	case Failed:
+		r.Failed++
+	}
+}
+
+func (c *Counts) opened(by int) {
+	c.mu.Lock()
+	c.open += by
+	c.mu.Unlock()
+}
+
+// Totals are the sums since the start.
+type Totals struct {
+	Taken    int            `json:"taken"`
+	Verdicts map[string]int `json:"verdicts"`
+	Attempts int            `json:"attempts"`
+	Outcomes map[string]int `json:"outcomes"`
+	Releases int            `json:"releases"`
+}
+
+// Line is one final answer or attempt, for people.
+type Line struct {
+	At     time.Time `json:"at"`
+	ID     string    `json:"id"`
+	Class  string    `json:"class"`
+	Server string    `json:"server,omitempty"`
+	What   string    `json:"what"`
+	Took   string    `json:"took"`
+	Detail string    `json:"detail,omitempty"`
+}
+
+const recentLines = 200
+
+func (c *Counts) update(f func(t *Totals)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.totals.Verdicts == nil {
+		c.totals.Verdicts, c.totals.Outcomes = map[string]int{}, map[string]int{}
+	}
+	f(&c.totals)
+}
+
+func (c *Counts) taken(*request) { c.update(func(t *Totals) { t.Taken++ }) }
+
+// sent books an attempt that goes out. Only the log has a line for it: its end has one in the ring too.
+func (c *Counts) sent(at *attempt) {
+	c.update(func(t *Totals) { t.Attempts++ })
+	log.Printf("%s attempt %d sent to %s", at.r.id, at.n, at.server)
+}
+
+func (c *Counts) ended(o logic.Outcome) { c.update(func(t *Totals) { t.Outcomes[o.String()]++ }) }
+func (c *Counts) answered(r *request, a Answer) {
+	c.update(func(t *Totals) { t.Verdicts[a.Verdict.String()]++ })
+	if r.class != nil && a.Verdict != Served { // that shows at the stream's end
+		c.result(r.class.Name, a.Verdict)
+	}
+	detail := a.Reason
+	if a.Verdict != Served {
+		detail = fmt.Sprintf("%s; %d sent, %d out, client gone %v", a.Reason, r.sent, len(r.out), r.left.Load())
+	}
+	c.add(Line{ID: r.id, Class: r.ask.Class, What: a.Verdict.String(), Took: took(r.received), Detail: detail})
+}
+
+func (c *Counts) note(r *request, at *attempt, out logic.Outcome, detail string) {
+	c.add(Line{ID: r.id, Class: r.ask.Class, Server: at.server, What: out.String(), Took: took(at.sentAt), Detail: fmt.Sprintf("attempt %d %s", at.n, detail)})
+}
+
+func took(since time.Time) string { return time.Since(since).Round(100 * time.Microsecond).String() }
+
+func (c *Counts) add(l Line) {
+	l.At = time.Now()
+	log.Printf("%s %s %s %s %s %s", l.ID, l.Class, l.What, l.Took, l.Server, l.Detail)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.recent) < recentLines {
+		c.recent = append(c.recent, l)
+	} else {
+		c.recent[c.next] = l
+	}
+	c.next = (c.next + 1) % recentLines
+}
+
+// Snapshot gives the totals and the last lines, the oldest first.
+func (c *Counts) Snapshot() (Totals, []Line) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.totals
+	t.Verdicts, t.Outcomes = copyOf(t.Verdicts), copyOf(t.Outcomes)
+	var lines []Line
+	if len(c.recent) == recentLines {
+		lines = append(lines, c.recent[c.next:]...)
+	}
+	return t, append(lines, c.recent[:min(c.next, len(c.recent))]...)
+}
+
+func copyOf(m map[string]int) map[string]int {
+	c := make(map[string]int, len(m))
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
--- a/internal/dispatch/inspect.go
+++ b/internal/dispatch/inspect.go
@@ -68,6 +68,12 @@
 		f.Classes[c.Name] = Results{}
 	}
 	c := d.Counts
+	f.Causes = c.Causes()
+	for _, r := range d.requests {
+		if r.holder != "" {
+			f.Held++
+		}
+	}
 	c.mu.Lock()
 	for name, r := range c.classes {
 		f.Classes[name] = *r
--- a/internal/dispatch/licence.go
+++ b/internal/dispatch/licence.go
@@ -56,7 +56,7 @@
 // lapsed gives up a request that may not be sent on for want of leave.
 func (d *Dispatcher) lapsed(r *request) {
 	if !r.answered && !r.away() {
-		d.giveUp(r, Answer{Verdict: Refused, After: lapsedAfter, Mark: noMark, Reason: "this dispatcher may not act: it has lost contact with the others"})
+		d.giveUp(r, Answer{Verdict: Refused, After: lapsedAfter, Mark: noMark, Reason: "this dispatcher may not act: it has lost contact with the others"}, NoLicence)
 	}
 }
 
--- a/internal/dispatch/noted.go
+++ b/internal/dispatch/noted.go
@@ -35,7 +35,7 @@
 }
 
 func (d *Dispatcher) launch(at *attempt, to Target) {
-	d.Counts.sent()
+	d.Counts.sent(at)
 	at.out = at.r.parcel.Send(to, at)
 }
 
@@ -69,9 +69,9 @@
 	case r.answered:
 	case errors.As(err, &ran) && ran.MayHaveRun():
 		r.ran = true
-		d.giveUp(r, Answer{Verdict: Failed, Reason: err.Error()})
+		d.giveUp(r, Answer{Verdict: Failed, Reason: err.Error()}, NotRecorded)
 	default:
-		d.giveUp(r, Answer{Verdict: Refused, After: notedAfter, Reason: err.Error()})
+		d.giveUp(r, Answer{Verdict: Refused, After: notedAfter, Reason: err.Error()}, NotRecorded)
 	}
 }
 
--- a/internal/dispatch/phase.go
+++ b/internal/dispatch/phase.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log"
 	"sync"
 )
 
@@ -52,6 +53,7 @@
 	if next <= p.now {
 		return fmt.Errorf("phase %v does not follow %v", next, p.now)
 	}
+	log.Printf("phase: %v after %v", next, p.now)
 	p.now = next
 	return nil
 }
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -19,7 +19,7 @@
 func (vacating) apply(d *Dispatcher) {
 	for _, r := range d.requests {
 		if !r.answered {
-			d.giveUp(r, Answer{Verdict: Refused, Reason: "the program ends"})
+			d.giveUp(r, Answer{Verdict: Refused, Reason: "the program ends"}, ProgramEnding)
 		}
 	}
 }
@@ -64,6 +64,6 @@
 		Took: d.clock().Sub(at.sentAt)})
 	d.answer(r, Answer{Verdict: Served, Stream: b.stream})
 	for _, other := range r.out { // a second copy has lost the race
-		other.cancel()
+		other.cancel(LostRace)
 	}
 }
--- a/internal/dispatch/release_test.go
+++ b/internal/dispatch/release_test.go
@@ -163,7 +163,7 @@
 		t.Errorf("asked %v", got)
 	}
 	Update{Full: true, Servers: []Server{{Addr: "w1", ServerEntry: logic.ServerEntry{ID: "w1", Kind: "w", Weight: 1}}}}.apply(d)
-	d.release("b", "r1")
+	d.release("b", "r1", RequestEnded)
 	if got := asked.addrs; !reflect.DeepEqual(got, []string{"r1", "w1"}) {
 		t.Errorf("asked %v", got)
 	}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -46,7 +46,7 @@
 		d.probe(a.Server)
 		return
 	case logic.Release:
-		d.release(a.RequestID, d.holderOf(a.RequestID))
+		d.release(a.RequestID, d.holderOf(a.RequestID), RequestEnded)
 		return
 	}
 	r := d.requests[a.RequestID]
@@ -58,7 +58,7 @@
 		d.send(r, a)
 	case logic.Cancel:
 		if at := r.out[a.Attempt]; at != nil {
-			at.cancel()
+			at.cancel(Overdue)
 		}
 	case logic.Refuse:
 		d.answer(r, Answer{Verdict: Refused, After: a.After, Reason: "no replica can serve it in time"})
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"standpulley/logic"
@@ -56,17 +57,18 @@
 }
 
 // cancel gives an attempt up, unless its stream belongs to the client already.
-func (at *attempt) cancel() {
+func (at *attempt) cancel(cause Cause) {
 	if at.stream == nil && !at.dropped {
 		at.dropped = true
+		at.d.Counts.Count(AttemptCancelled, cause, fmt.Sprintf("%s attempt %d at %s", at.r.id, at.n, at.server))
 		if at.out != nil { // else its intent is being noted, and it will not leave
 			at.out.Cancel()
 		}
 	}
 }
 
-func (d *Dispatcher) cancelAll(r *request) {
+func (d *Dispatcher) cancelAll(r *request, cause Cause) {
 	for _, at := range r.out {
-		at.cancel()
+		at.cancel(cause)
 	}
 }
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"standpulley/internal/dispatch"
 )
 
 // Gate bounds the clients' connections of all fronts together. Where a further one comes, the one that has waited
@@ -19,11 +21,28 @@
 	refused int       // connections that were answered unread and are not closed yet
 	away    bool      // none is kept after an answer
 
+	Closed func(cause dispatch.Cause, client string) // told of each connection that is ended before its client ends it; may be nil
+
 	mostBytes int
 	bytes     int       // of bodies that are being read
 	coming    list.List // of *Conn that read one, the longest first
 }
 
+// Why a client's connection was ended.
+const (
+	Evicted      dispatch.Cause = "evicted"       // another client wanted its place
+	EvictedBegun dispatch.Cause = "evicted_begun" // the same, while a request was coming: it was answered 502
+	NoPlace      dispatch.Cause = "no_place"      // it was new, and every place had a request: it was answered 502
+	SentAway     dispatch.Cause = "sent_away"     // operators empty the program
+)
+
+// closed tells of a connection that is ended. The gate is locked.
+func (g *Gate) closed(cause dispatch.Cause, c net.Conn) {
+	if g.Closed != nil {
+		g.Closed(cause, c.RemoteAddr().String())
+	}
+}
+
 const (
 	refusedMost = 8 // that are waited for at once, so that nothing they still send resets their answer
 	// The answer fits into the send buffer of a connection on which nothing was answered yet.
@@ -57,6 +76,7 @@
 		c.wait()
 		return c
 	}
+	g.closed(NoPlace, tcp)
 	g.dismiss(tcp)
 	return nil
 }
@@ -65,10 +85,12 @@
 // answered. The gate is locked.
 func (g *Gate) evict(c *Conn) {
 	if !c.began {
+		g.closed(Evicted, c.Conn)
 		g.leave(c)
 		return
 	}
 	if g.forget(c) {
+		g.closed(EvictedBegun, c.Conn)
 		g.dismiss(c.Conn)
 	}
 }
@@ -190,6 +212,7 @@
 	for e := g.waiting.Front(); e != nil; {
 		c := e.Value.(*Conn)
 		if e = e.Next(); !c.began && time.Since(c.since) >= silent {
+			g.closed(SentAway, c.Conn)
 			g.leave(c)
 		}
 	}
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -99,6 +99,12 @@
 		say("outstanding", f.Open, "g")
 		say("discovered", f.Listed, "g")
 		say("ejected", f.LeftAlone, "g")
+		say("held", f.Held, "g")
+		for _, event := range slices.Sorted(maps.Keys(f.Causes)) {
+			for _, cause := range slices.Sorted(maps.Keys(f.Causes[event])) {
+				say(fmt.Sprintf("%s.%s", event, cause), f.Causes[event][cause], "c")
+			}
+		}
 	}
 	if p.agreed != nil {
 		p.agreed.figures(say)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -102,6 +102,7 @@
 	defer cancel()
 	p := &program{ports: map[string]*front.Port{}, pool: replica.NewPool(0, 0, 0), gate: front.NewGate(0, 0),
 		draining: make(chan struct{})}
+	p.gate.Closed = func(cause dispatch.Cause, client string) { p.counts.Count(dispatch.ClientClosed, cause, client) }
 	go p.pool.Sweep(ctx)
 	if m == nil {
 		p.shared = true
@@ -136,7 +137,8 @@
 	go p.sendAway(ctx)
 	for {
 		select {
-		case <-stop:
+		case sig := <-stop:
+			log.Printf("signal: %v", sig)
 			err := p.drain()
 			if p.agreed != nil {
 				if k := p.agreed.keeper; k != nil {
@@ -147,6 +149,7 @@
 			}
 			return err
 		case <-hangUp:
+			log.Print("signal: SIGHUP")
 			p.reload(load)
 		case r := <-m.reloads:
 			r.reply <- p.adopt(r.cfg)
--- a/internal/program/walltime_test.go
+++ b/internal/program/walltime_test.go
@@ -22,7 +22,7 @@
 // wallUses are the places that may read the wall clock, each with its reason.
 var wallUses = map[string]string{
 	"internal/dispatch/starttime.go Round": "the one seam: ages of replicas are found there, once",
-	"internal/dispatch/book.go Round":      "a span, rounded for people",
+	"internal/dispatch/counts.go Round":    "a span, rounded for people",
 	"internal/discovery/list.go UnixMilli": "the form in which lists name a start",
 	"internal/front/chat/chat.go Unix":     "a field of the chat API, for people",
 }
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"strconv"
 	"sync"
@@ -109,6 +110,7 @@
 		return a.failed(logic.ConnectFailed, err), nil // the last byte was not written: it can't have run
 	}
 	a.tell.Written()
+	log.Printf("%s written to %s on %s", a.p.ID, a.to.Addr, c.age())
 	if spoilt, err := a.readHead(); err != nil {
 		return a.broken(spoilt, err), nil
 	}
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -35,6 +35,14 @@
 	idledAt time.Time
 }
 
+// age says for the log whether a connection is new, or how long it had stood idle before its present use.
+func (c *conn) age() string {
+	if c.idledAt.IsZero() {
+		return "a new connection"
+	}
+	return "one idle for " + time.Since(c.idledAt).String()
+}
+
 const (
 	retireAt   = 0.8                  // part of the replica's idle time after which we close first
 	idleAtMost = 8                    // connections to a replica that idle at once: each takes a place there too
