--- /dev/null
+++ b/internal/ci/knownred/main_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const oneFailure = "ok  \ta/b\t0.1s\n--- FAIL: TestRed (1.75s)\n    red_test.go:9: wrong\nFAIL\nFAIL\ta/c\t1.760s\nFAIL\n"
+
+// Only failures of listed tests pass; what never passes does not pass beside them.
+func TestOnlyListedFailuresPass(t *testing.T) {
+	for name, c := range map[string]struct {
+		list, log, wrong string
+	}{
+		"listed":          {"a/c.TestRed, its cause, 36\n", oneFailure, ""},
+		"not listed":      {"# none\n", oneFailure, "a/c.TestRed failed and is not listed"},
+		"another package": {"a/b.TestRed, its cause, 36\n", oneFailure, "not listed"},
+		"a second one":    {"a/c.TestRed, its cause, 36\n", oneFailure + "--- FAIL: TestOther (0s)\nFAIL\ta/d\t0.1s\n", "a/d.TestOther"},
+		"a build":         {"a/c.TestRed, its cause, 36\n", oneFailure + "FAIL\ta/d [build failed]\n", "never passes"},
+		"a panic":         {"a/c.TestRed, its cause, 36\n", "panic: test timed out after 10m0s\n" + oneFailure, "never passes"},
+		"a race":          {"a/c.TestRed, its cause, 36\n", "WARNING: DATA RACE\n" + oneFailure, "never passes"},
+		"no test":         {"a/c.TestRed, its cause, 36\n", "exit status 2\nFAIL\ta/c\t0.1s\n", "none of its tests"},
+		"nothing":         {"a/c.TestRed, its cause, 36\n", "", "no test of it"},
+		"cut short":       {"a/c.TestRed, its cause, 36\n", "--- FAIL: TestRed (0s)\n", "did not end"},
+		"no cause":        {"a/c.TestRed\n", oneFailure, "is not"},
+		"too many":        {strings.Repeat("a/c.TestRed, its cause, 36\n", 4), oneFailure, "4 tests are listed"},
+	} {
+		list, log := filepath.Join(t.TempDir(), "list"), filepath.Join(t.TempDir(), "log")
+		if os.WriteFile(list, []byte(c.list), 0o600) != nil || os.WriteFile(log, []byte(c.log), 0o600) != nil {
+			t.Fatal("can't write")
+		}
+		var out strings.Builder
+		err := run(list, log, &out)
+		if c.wrong == "" && (err != nil || !strings.Contains(out.String(), "known failure: a/c.TestRed")) {
+			t.Errorf("%s: %v, %q", name, err, out.String())
+		}
+		if c.wrong != "" && (err == nil || !strings.Contains(err.Error(), c.wrong)) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/link.go
@@ -0,0 +1,235 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// NewConnections says what a Link does to connections that are made from now on.
+type NewConnections int
+
+// The modes of a Link for new connections.
+const (
+	Carried NewConnections = iota // they lead to the server
+	Silent                        // they come up, and what is sent on them vanishes
+	Pending                       // they do not come up until the mode changes
+	Refused                       // they are reset
+)
+
+// Link carries the connections of dispatchers to one server, and does to them what a network does: connections fall silent with no
+// error, are reset, or never come up. Its methods may be called from any goroutine.
+type Link struct {
+	Addr string // where dispatchers connect
+
+	to string
+	ln *net.TCPListener
+
+	mu    sync.Mutex
+	cond  *sync.Cond
+	mode  NewConnections
+	open  map[*carried]bool
+	fill  []net.Conn // they take the places of connections that may wait
+	ended bool
+}
+
+// carried is one connection with its two ends.
+type carried struct {
+	near, far net.Conn // far is nil where it never led anywhere
+	silent    bool     // guarded by the link
+}
+
+// NewLink listens at addr, which leads to the server at to.
+func NewLink(addr, to string) (*Link, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("link to %s: %w", to, err)
+	}
+	l := &Link{Addr: ln.Addr().String(), to: to, ln: ln.(*net.TCPListener), open: map[*carried]bool{}}
+	l.cond = sync.NewCond(&l.mu)
+	go l.accept()
+	return l, nil
+}
+
+// Silence has all open connections fall silent in both directions. They stay open, and no error shows.
+func (l *Link) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		c.silent = true
+	}
+}
+
+// Reset breaks all open connections.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		c.reset()
+	}
+}
+
+// SetNew changes what happens to new connections.
+func (l *Link) SetNew(mode NewConnections) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.mode
+	l.mode = mode
+	switch {
+	case mode == Pending && before != Pending:
+		_ = l.ln.SetDeadline(time.Now().Add(-time.Second)) // wakes the goroutine that accepts
+		l.listen(0)
+		l.takePlaces()
+	case mode != Pending && before == Pending:
+		for _, c := range l.fill {
+			_ = c.Close()
+		}
+		l.fill = nil
+		l.listen(backlog)
+		_ = l.ln.SetDeadline(time.Time{})
+	}
+	l.cond.Broadcast()
+}
+
+// Close ends the link and resets its connections.
+func (l *Link) Close() {
+	l.mu.Lock()
+	l.ended = true
+	for _, c := range l.fill {
+		_ = c.Close()
+	}
+	l.mu.Unlock()
+	l.cond.Broadcast()
+	_ = l.ln.Close()
+	l.Reset()
+}
+
+const (
+	backlog   = 128
+	placeTime = 20 * time.Millisecond // a connection that takes so long has found no place
+	placeMost = 8
+)
+
+// listen sets how many connections may wait to be accepted.
+func (l *Link) listen(most int) {
+	if raw, err := l.ln.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), most) })
+	}
+}
+
+// takePlaces connects until no further connection comes up: those of dispatchers find no place either, and the machine drops what they
+// send first.
+func (l *Link) takePlaces() {
+	for range placeMost {
+		c, err := net.DialTimeout("tcp", l.Addr, placeTime)
+		if err != nil {
+			return
+		}
+		l.fill = append(l.fill, c)
+	}
+}
+
+func (l *Link) accept() {
+	for {
+		l.mu.Lock()
+		for l.mode == Pending && !l.ended {
+			l.cond.Wait()
+		}
+		ended := l.ended
+		l.mu.Unlock()
+		if ended {
+			return
+		}
+		c, err := l.ln.Accept()
+		if err != nil {
+			continue // woken, or closed
+		}
+		go l.carry(&carried{near: c})
+	}
+}
+
+// carry leads one connection to the server until either side ends it.
+func (l *Link) carry(c *carried) {
+	l.mu.Lock()
+	mode := l.mode
+	c.silent = mode == Silent
+	l.open[c] = true
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.open, c)
+		l.mu.Unlock()
+		c.close()
+	}()
+	switch mode {
+	case Refused:
+		c.reset()
+		return
+	case Silent:
+		_, _ = io.Copy(io.Discard, c.near) // its end is the point
+		return
+	}
+	far, err := net.DialTimeout("tcp", l.to, time.Second)
+	if err != nil {
+		c.reset()
+		return
+	}
+	l.mu.Lock()
+	c.far = far
+	l.mu.Unlock()
+	done := make(chan bool, 2)
+	go l.pump(c, c.near, far, done)
+	go l.pump(c, far, c.near, done)
+	<-done
+	if l.isSilent(c) { // the end of one side does not come to the other
+		<-done
+	}
+}
+
+func (l *Link) isSilent(c *carried) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.silent
+}
+
+// pump carries one direction. What comes once the connection has fallen silent vanishes, and so does its end.
+func (l *Link) pump(c *carried, from, to net.Conn, done chan<- bool) {
+	defer func() { done <- true }()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !l.isSilent(c) {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err == io.EOF && !l.isSilent(c) {
+			if t, ok := to.(*net.TCPConn); ok {
+				_ = t.CloseWrite() // a half close passes on
+			}
+		}
+		return
+	}
+}
+
+func (c *carried) reset() {
+	for _, side := range []net.Conn{c.near, c.far} {
+		if t, ok := side.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // without it the end is a plain one
+			_ = t.Close()
+		}
+	}
+}
+
+func (c *carried) close() {
+	_ = c.near.Close()
+	if c.far != nil {
+		_ = c.far.Close()
+	}
+}
--- /dev/null
+++ b/internal/soak/link_test.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echo is a server that says back what it hears.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func linkTo(t *testing.T, to string) *Link {
+	t.Helper()
+	l, err := NewLink("127.0.0.1:0", to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
+
+// says tells whether the other side of a connection says back what it is told.
+func says(c net.Conn) error {
+	_ = c.SetDeadline(time.Now().Add(200 * time.Millisecond))
+	if _, err := c.Write([]byte("x")); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err
+}
+
+func dial(t *testing.T, l *Link) net.Conn {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", l.Addr, 200*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func timedOut(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+func TestLinkSilencesOpenConnectionsOnly(t *testing.T) {
+	l := linkTo(t, echo(t))
+	before := dial(t, l)
+	if err := says(before); err != nil {
+		t.Fatal(err)
+	}
+	l.Silence()
+	if err := says(before); !timedOut(err) {
+		t.Errorf("a silent connection: %v", err)
+	}
+	if err := says(dial(t, l)); err != nil {
+		t.Errorf("a new connection: %v", err)
+	}
+}
+
+func TestLinkKeepsNewConnectionsPending(t *testing.T) {
+	l := linkTo(t, echo(t))
+	before := dial(t, l)
+	if err := says(before); err != nil {
+		t.Fatal(err)
+	}
+	l.SetNew(Pending)
+	if c, err := net.DialTimeout("tcp", l.Addr, 200*time.Millisecond); err == nil {
+		_ = c.Close()
+		t.Error("a new connection came up")
+	}
+	if err := says(before); err != nil {
+		t.Errorf("an open connection: %v", err)
+	}
+	l.SetNew(Carried)
+	if err := says(dial(t, l)); err != nil {
+		t.Errorf("a connection after that: %v", err)
+	}
+}
+
+func TestLinkResets(t *testing.T) {
+	l := linkTo(t, echo(t))
+	before := dial(t, l)
+	if err := says(before); err != nil {
+		t.Fatal(err)
+	}
+	l.Reset()
+	if err := says(before); err == nil || timedOut(err) {
+		t.Errorf("a connection that was reset: %v", err)
+	}
+	l.SetNew(Silent)
+	if err := says(dial(t, l)); !timedOut(err) {
+		t.Errorf("a new connection that is silent: %v", err)
+	}
+}
