Let held state go until an answer proves that the fetch has arrived

Cause: the clock of held state was stopped by Written, which says that bytes were handed to this machine (internal/dispatch/book.go, watchHeld: the check passed over a request as soon as a further attempt's last byte was written). On an open connection that had fallen silent they come to nobody, and no error shows; the release came with the request's end, up to seconds later. Class: a local success taken for a remote one.

Change: what is held stands in one file (internal/dispatch/held.go). Only an answer of the second stage proves a fetch: a first event, a 410, or bytes of an answer. Until then the state is let go after half of the settings' time, again for as long as the fetch is out, at once when the fetch ends without proof, and for as long as a read that was given up may end. The decision module hears of it (StateReleased), so that it reads anew and does not blame the reader for the 410 that follows.

Three tests of internal/dispatch demanded the fault ('not once its bytes have left', 'while the writer may come for it', 'a second read that was written'): replaced by ones that demand a release whatever was written, and none once the writer has answered. Five further ones hold retries that fail at once, a writer that turns the fetch away, a fetch that stays out, a late end of a read that was given up.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -26,8 +26,7 @@
 	sent       int
 	out        map[int]*attempt // by number
 	ran        bool             // an attempt that ended may have run
-	reached    atomic.Int64     // attempts whose last byte was written
-	holder     string           // address of the reader that holds what the last read left, or may; empty: nothing is held
+	held       held             // at the first stage
 	loose      bool             // a read ended without a word on what it left behind
 	unheard    bool             // a read was given up, and goes on if its replica could not hear of that
 	ranSince   time.Time        // when the first attempt that may have run, or may be out yet, was sent
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -4,14 +4,12 @@
 	"fmt"
 	"slices"
 	"sort"
-	"time"
 
 	"standpulley/logic"
 )
 
 // Written is called by the transport when the attempt's last byte is written.
 func (at *attempt) Written() {
-	at.r.reached.Add(1)
 	c := at.d.Counts
 	c.mu.Lock()
 	c.written++
@@ -44,8 +42,7 @@
 			r.ranSince = at.sentAt
 		}
 		if at.role == logic.Reader {
-			// A read may have ended well just as its connection was closed or broke.
-			r.loose, r.holder = true, at.addr
+			r.loose = true
 			r.unheard = r.unheard || out == logic.Cancelled || out == logic.TimedOut
 		} else {
 			r.ran = true
@@ -65,14 +62,10 @@
 		detail = fmt.Sprintf("%d of %d kept", res.Tokens, r.ask.PromptTokens)
 	}
 	d.Counts.note(r, at, out, detail)
-	switch {
-	case out == logic.ReadDone:
-		r.holder = at.addr
-	case at.role != logic.Reader && res.NoState:
-		r.holder = "" // it has come for the state
-	}
-	if r.holder != "" && out != logic.ConnectFailed && out != logic.NotSent {
-		d.watchHeld(r) // also where the writer was silent: it may never have come for the state
+	if at.role == logic.Reader {
+		d.readEnded(at, out)
+	} else {
+		d.fetchEnded(at, res, out)
 	}
 	if res.Left && !r.answered {
 		d.giveUp(r, Answer{Verdict: Left}, ClientGone)
@@ -85,24 +78,6 @@
 	d.settle(r)
 }
 
-// heldPart is the part of the time for which a state may be held after which it is let go, where nothing has come to fetch it. The rest
-// is for the calls.
-const heldPart = 0.5
-
-// watchHeld sees to it that what a read has left, or may have, is let go in time after the end of an attempt. A further attempt that
-// can't connect, as a link is cut, is out here and nowhere else: for the replica that holds the state nobody comes.
-func (d *Dispatcher) watchHeld(r *request) {
-	if d.set.ReleaseWithin == 0 {
-		return
-	}
-	before := r.reached.Load()
-	d.after(time.Duration(heldPart*float64(d.set.ReleaseWithin)), func() {
-		if d.requests[r.id] == r && r.reached.Load() == before {
-			d.release(r.id, r.holder, FetchUnproven)
-		}
-	})
-}
-
 // neverRan tells whether an outcome proves that the attempt had no effect.
 func neverRan(o logic.Outcome) bool {
 	return o == logic.Full || o == logic.ConnectFailed || o == logic.NotSent || o == logic.ReadDone
@@ -126,17 +101,12 @@
 		r.parcel = nil // its timers still know the request for a while, and must not keep its body
 		// Also behind an answer: the read may end on its replica after the fetch that let go of all the rest.
 		if r.loose {
-			d.release(r.id, r.holder, ReadUncertain)
-			// The read may end on its replica a moment after the first call has come there.
-			d.Phases.begin()
-			d.after(looseAgain, func() { d.release(r.id, r.holder, ReadUncertain); d.Phases.end() })
+			d.releaseLeftover(r)
 		}
 		d.Phases.end()
 	}
 }
 
-const looseAgain = 150 * time.Millisecond
-
 // release has all let go that is held for a request. Any replica will do: first the one that holds it, if that is known, as it is well
 // or nothing is held there any more; then those that are surest to be there, in service and long started.
 func (d *Dispatcher) release(id, holder string, cause Cause) {
--- a/internal/dispatch/inspect.go
+++ b/internal/dispatch/inspect.go
@@ -70,7 +70,7 @@
 	c := d.Counts
 	f.Causes = c.Causes()
 	for _, r := range d.requests {
-		if r.holder != "" {
+		if r.held.addr != "" {
 			f.Held++
 		}
 	}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -27,7 +27,7 @@
 // holderOf gives the address at which something may be held for a request that is not forgotten yet.
 func (d *Dispatcher) holderOf(id string) string {
 	if r := d.requests[id]; r != nil {
-		return r.holder
+		return r.held.addr
 	}
 	return ""
 }
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -16,6 +16,7 @@
 	addr    string
 	role    logic.Role
 	sentAt  time.Time
+	until   time.Time // its replica was told that it is waited for until then
 	out     Attempt
 	stream  Stream // the client's, once it was handed over
 	beganAt time.Time
@@ -40,6 +41,7 @@
 	if t := d.timeAt(a.Until); a.Until > 0 && t.Before(until) {
 		until = t
 	}
+	at.until = until
 	r.out[at.n] = at
 	leave := d.leave(r, s)
 	d.note(at, Target{Server: s.ID, Addr: s.Addr, Until: until,
--- a/logic/events.go
+++ b/logic/events.go
@@ -19,11 +19,12 @@
 	TimerFired                     // Tag
 	Probed                         // Server, Took, Outcome, Report: a probe's answer
 	PlaceAnswered                  // RequestID, Server, Attempt: answer to a place held ahead (never asked for)
+	StateReleased                  // RequestID: the host has let go of the state that waited for it; it must be read anew
 )
 
 func (k EventKind) String() string {
 	return name(k, "list-changed", "list-complete", "list-failed", "arrived", "stream-started", "ended",
-		"departed", "timer-fired", "probed", "place-answered")
+		"departed", "timer-fired", "probed", "place-answered", "state-released")
 }
 
 // Availability is the state of a listed server.
--- a/logic/router.go
+++ b/logic/router.go
@@ -102,6 +102,10 @@
 		l.departed(ev.RequestID)
 	case Probed:
 		l.probeAnswered(ev)
+	case StateReleased:
+		if r := l.requests[ev.RequestID]; r != nil {
+			r.state = nil
+		}
 	case TimerFired:
 		l.timer(ev.Tag)
 	}
