Read anew only once what a read may have left is released; repeat releases on new connections

So nothing is released while a read is out, and a request is read anew only when a replica has confirmed the release, or after 0.1 s.

--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -62,20 +62,34 @@
 		detail = fmt.Sprintf("%d of %d kept", res.Tokens, r.ask.PromptTokens)
 	}
 	d.Counts.note(r, at, out, detail)
-	if at.role == logic.Reader {
-		d.readEnded(at, out)
-	} else {
-		d.fetchEnded(at, res, out)
-	}
+	leftover := d.stateAfter(at, res, out)
 	if res.Left && !r.answered {
 		d.giveUp(r, Answer{Verdict: Left}, ClientGone)
 	}
 	if res.Lapsed {
 		d.lapsed(r) // before the module tries elsewhere: there is no leave anywhere
 	}
-	d.route(logic.Event{Kind: logic.Ended, RequestID: r.id, Server: at.server, Attempt: at.n, Outcome: out,
-		Took: d.clock().Sub(at.sentAt), Tokens: res.Tokens, NoState: res.NoState, Over: r.answered})
-	d.settle(r)
+	told := attemptBooked{r, logic.Event{Kind: logic.Ended, RequestID: r.id, Server: at.server, Attempt: at.n, Outcome: out,
+		Took: d.clock().Sub(at.sentAt), Tokens: res.Tokens, NoState: res.NoState}}
+	if leftover && !r.answered {
+		r.held.releasing = true
+		d.releaseThen(r, ReadUncertain, releaseFirst, told)
+		return
+	}
+	told.apply(d)
+}
+
+// attemptBooked comes when the decision module may hear of an attempt's end: what it may have left is released, and another may be sent.
+type attemptBooked struct {
+	r  *request
+	ev logic.Event
+}
+
+func (b attemptBooked) apply(d *Dispatcher) {
+	b.r.held.releasing = false
+	b.ev.Over = b.r.answered
+	d.route(b.ev)
+	d.settle(b.r)
 }
 
 // neverRan tells whether an outcome proves that the attempt had no effect.
@@ -95,7 +109,7 @@
 
 // settle forgets a request that is answered and has no attempt out.
 func (d *Dispatcher) settle(r *request) {
-	if r.answered && len(r.out) == 0 && d.requests[r.id] == r {
+	if r.answered && len(r.out) == 0 && !r.held.releasing && d.requests[r.id] == r {
 		delete(d.requests, r.id)
 		d.size -= r.size
 		r.parcel = nil // its timers still know the request for a while, and must not keep its body
@@ -110,8 +124,17 @@
 // release has all let go that is held for a request. Any replica will do: first the one that holds it, if that is known, as it is well
 // or nothing is held there any more; then those that are surest to be there, in service and long started.
 func (d *Dispatcher) release(id, holder string, cause Cause) {
+	d.countRelease(id, holder, cause)
+	d.releaser.Release(id, d.releaseOrder(holder))
+}
+
+func (d *Dispatcher) countRelease(id, holder string, cause Cause) {
 	d.Counts.update(func(t *Totals) { t.Releases++ })
 	d.Counts.Count(StateReleased, cause, fmt.Sprintf("%s held at %q", id, holder))
+}
+
+// releaseOrder gives the addresses of the replicas to ask for a release, in their order.
+func (d *Dispatcher) releaseOrder(holder string) []string {
 	all := make([]*Server, 0, len(d.servers))
 	for _, s := range d.servers {
 		all = append(all, s)
@@ -130,7 +153,7 @@
 	if holder != "" {
 		addrs = slices.Insert(addrs, 0, holder)
 	}
-	d.releaser.Release(id, addrs)
+	return addrs
 }
 
 // oneOfEachZone gives the addresses to try in turn: the first of the own zone, the first of each other, then the second ones. A
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -83,9 +83,11 @@
 	Close()
 }
 
-// Releaser lets go of all that replicas hold for a request. It does not block.
+// Releaser lets go of all that replicas hold for a request. It does not block. Replicas are asked in the order of their addresses.
 type Releaser interface {
 	Release(id string, addrs []string)
+	// ReleaseThen does the same and calls then once, from any goroutine: when a replica has confirmed it, or after a time.
+	ReleaseThen(id string, addrs []string, within time.Duration, then func())
 }
 
 // Prober asks replicas whether they are well.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -48,6 +48,11 @@
 
 func (r *released) Release(id string, addrs []string) { *r = append(*r, id) }
 
+func (r *released) ReleaseThen(id string, _ []string, _ time.Duration, then func()) {
+	*r = append(*r, id)
+	then()
+}
+
 var classes = []logic.Class{
 	{Name: "safe", Aim: time.Second, Deadline: 3 * time.Second, Repeat: logic.Safe},
 	{Name: "unsafe", Aim: time.Second, Deadline: 3 * time.Second, Repeat: logic.Unsafe},
--- a/internal/dispatch/held.go
+++ b/internal/dispatch/held.go
@@ -9,57 +9,59 @@
 // held is what a replica of the first stage holds for a request, or may hold.
 //
 // A write that succeeded does not prove that a fetch has arrived: an open connection may have fallen silent, and the machine takes the
-// bytes all the same. Only an answer of the second stage proves it. Until then what is held is let go in time, whatever was sent: a
-// release touches no state that an attempt is waiting on.
+// bytes all the same. Only an answer of the second stage proves it. Until then what is held is let go in time, whatever was sent.
+//
+// A release touches no state for which an attempt waits at the second stage, but what a read in progress will leave is let go with the
+// rest. So nothing is released while a read is out, and a read is sent only when what an earlier one may have left has been released.
 type held struct {
 	addr      string    // of the replica; empty: nothing is held
-	released  bool      // the decision module knows that there is nothing to fetch
 	mayAppear time.Time // until then a read that was given up may end on its replica, and leave a state
 	timer     int       // number of the timer in force
+	releasing bool      // the end of an attempt waits until what it may have left is released
 }
 
-// heldPart is the part of the time for which a state may be held after which it is let go. The rest is for the calls.
-const heldPart = 0.5
+const (
+	// heldPart is the part of the time for which a state may be held after which it is let go. The rest is for the calls.
+	heldPart = 0.5
+	// releaseFirst bounds how long a further attempt waits for a release: two replicas may be silent before one answers.
+	releaseFirst = 100 * time.Millisecond
+	// looseAgain is when a second call follows behind a request's end: a read may end on its replica just after the first came there.
+	looseAgain = 150 * time.Millisecond
+)
 
-// readEnded books what the end of a read leaves at its replica.
-func (d *Dispatcher) readEnded(at *attempt, out logic.Outcome) {
+// stateAfter books what the end of an attempt proves of the state at the first stage. It tells whether something may be held for which
+// nobody will come, as the request is to be read anew.
+func (d *Dispatcher) stateAfter(at *attempt, res Result, out logic.Outcome) (leftover bool) {
 	h := &at.r.held
 	switch {
 	case out == logic.ReadDone:
-		h.addr, h.released = at.addr, false
-	case !neverRan(out): // it may have ended well just as its connection was closed or broke
-		h.addr, h.released = at.addr, true
+		h.addr = at.addr
+		d.releaseAfter(at.r, heldPart)
+	case at.role == logic.Reader && !neverRan(out): // it may have ended well just as its connection was closed or broke
+		h.addr = at.addr
 		if at.until.After(h.mayAppear) {
 			h.mayAppear = at.until // its replica was told how long it is waited for
 		}
-	default:
-		return
-	}
-	d.releaseAfter(at.r, heldPart)
-}
-
-// fetchEnded books what the end of an attempt at the second stage proves of the state that it was to fetch.
-func (d *Dispatcher) fetchEnded(at *attempt, res Result, out logic.Outcome) {
-	h := &at.r.held
-	switch {
-	case h.addr == "":
+		return true
+	case at.role == logic.Reader || h.addr == "":
 	case res.NoState:
 		d.fetched(at.r)
 	case out == logic.Full: // it came there, and has left the state where it was
 		d.releaseAfter(at.r, heldPart)
-	case h.released && !neverRan(out): // it may have kept the state from being let go until now
-		d.release(at.r.id, h.addr, FetchUnproven)
+	case at.released && !neverRan(out): // it may have kept the state from being let go until now
+		return true
 	}
+	return false
 }
 
-// fetched books a proof that the state was taken. A read that was given up may still leave another.
+// fetched books a proof that the state was taken.
 func (d *Dispatcher) fetched(r *request) {
-	if !d.clock().Before(r.held.mayAppear) {
-		r.held.addr = ""
-	}
+	r.held.addr = ""
+	r.held.timer++
 }
 
-// releaseAfter lets go of what is held after a part of the time that the settings allow, unless the clock is set again before.
+// releaseAfter lets go of what is held after a part of the time that the settings allow, unless the clock is set again before. It goes
+// on while an attempt to fetch it is out, whose server may vanish.
 func (d *Dispatcher) releaseAfter(r *request, part float64) {
 	if d.set.ReleaseWithin == 0 {
 		return
@@ -67,42 +69,52 @@
 	r.held.timer++
 	number := r.held.timer
 	d.after(time.Duration(part*float64(d.set.ReleaseWithin)), func() {
-		if d.requests[r.id] == r && r.held.timer == number && r.held.addr != "" {
-			d.releaseHeld(r)
+		if d.requests[r.id] != r || r.held.timer != number || r.held.addr == "" || r.outAt(logic.Reader) {
+			return
+		}
+		d.releaseThen(r, FetchUnproven, d.set.ReleaseWithin, stateReleased{r, number})
+		if r.fetching() {
+			d.releaseAfter(r, 1)
 		}
 	})
 }
 
-// releaseHeld lets go of what is held for an open request, and goes on while something may be held again: while an attempt to fetch it
-// is out, whose server may vanish, and while a read that was given up may end.
-func (d *Dispatcher) releaseHeld(r *request) {
-	h := &r.held
-	cause := FetchUnproven
-	if h.released {
-		cause = ReadUncertain
-	}
-	d.release(r.id, h.addr, cause)
-	if !h.released {
-		h.released = true
-		d.route(logic.Event{Kind: logic.StateReleased, RequestID: r.id})
+// stateReleased comes when a replica has confirmed that it let go of what was held for an open request, or when none did in time.
+type stateReleased struct {
+	r     *request
+	timer int // that set off the call
+}
+
+// apply tells the decision module, unless something new is held since.
+func (s stateReleased) apply(d *Dispatcher) {
+	if d.requests[s.r.id] != s.r || s.r.held.timer != s.timer && !s.r.fetching() {
+		return
 	}
-	if r.fetching() || d.clock().Before(h.mayAppear) {
-		d.releaseAfter(r, 1)
-	} else {
-		h.addr = ""
+	for _, at := range s.r.out {
+		at.released = true
 	}
+	d.route(logic.Event{Kind: logic.StateReleased, RequestID: s.r.id})
 }
 
-// fetching tells whether an attempt at the second stage is out.
-func (r *request) fetching() bool {
+// releaseThen lets go of all that is held for a request, and posts a message once a replica has confirmed that, or after a time.
+func (d *Dispatcher) releaseThen(r *request, cause Cause, within time.Duration, then message) {
+	d.countRelease(r.id, r.held.addr, cause)
+	d.releaser.ReleaseThen(r.id, d.releaseOrder(r.held.addr), within, func() { d.post(then) })
+}
+
+// outAt tells whether an attempt at a server of a role is out.
+func (r *request) outAt(role logic.Role) bool {
 	for _, at := range r.out {
-		if at.role != logic.Reader {
+		if at.role == role {
 			return true
 		}
 	}
 	return false
 }
 
+// fetching tells whether an attempt at the second stage is out.
+func (r *request) fetching() bool { return len(r.out) > 0 && !r.outAt(logic.Reader) }
+
 // releaseLeftover lets go of what a read may have left, or may leave, whose request is over: at once, a moment later, and then until its
 // replica has no reason to go on with it. The program waits only for the first two.
 func (d *Dispatcher) releaseLeftover(r *request) {
@@ -118,6 +130,3 @@
 		d.after(wait, release)
 	}
 }
-
-// looseAgain is when the second call follows: a read may end on its replica just after the first has come there.
-const looseAgain = 150 * time.Millisecond
--- a/internal/dispatch/release_test.go
+++ b/internal/dispatch/release_test.go
@@ -164,16 +164,71 @@
 	}
 }
 
-// Guards: a second read whose bytes have left counted as one that had arrived, and kept what the first had left from being let go. A
-// release does not disturb a read that runs.
-func TestWhatABrokenReadLeftIsLetGoWhileAnotherIsOut(t *testing.T) {
-	d, rel, pass := clocked(t)
-	_, p := take(d, "a", "safe")
-	end(d, p, logic.ConnectionLost)
-	p.sent[1].tell.Written()
-	pass(300 * time.Millisecond)
-	if len(*rel) == 0 {
-		t.Error("nothing was released")
+// withheld is a releaser whose confirmations the test gives.
+type withheld struct {
+	ids  []string
+	then []func()
+}
+
+func (w *withheld) Release(id string, _ []string) { w.ids = append(w.ids, id) }
+
+func (w *withheld) ReleaseThen(id string, _ []string, _ time.Duration, then func()) {
+	w.ids, w.then = append(w.ids, id), append(w.then, then)
+}
+
+// Guards: a second read whose bytes had left counted as one that had arrived, and kept what the first had left from being let go. So a
+// request is read anew only when that is confirmed. What a read in progress will leave would be let go with the rest: while one is out
+// nothing is released.
+func TestRequestIsReadAnewOnceWhatABrokenReadLeftIsReleased(t *testing.T) {
+	for _, o := range []logic.Outcome{logic.ConnectionLost, logic.TimedOut, logic.Cancelled} {
+		d, _, pass := clocked(t)
+		rel := &withheld{}
+		d.releaser = rel
+		_, p := take(d, "a", "safe")
+		end(d, p, o)
+		if len(p.sent) != 1 || len(rel.then) != 1 {
+			t.Fatalf("%v: %d sends, %d releases", o, len(p.sent), len(rel.then))
+		}
+		rel.then[0]()
+		drive(d)
+		if len(p.sent) != 2 || p.sent[1].to.Server != "r1" {
+			t.Fatalf("%v: %d sends after the release", o, len(p.sent))
+		}
+		p.sent[1].tell.Written()
+		if pass(time.Second); len(rel.ids) != 1 {
+			t.Errorf("%v: released %v while a read is out", o, rel.ids)
+		}
+	}
+}
+
+// Guards: a fetch that ends without proof, after its state was let go, may have kept it from that until then. The request is read anew
+// once that is released too; a client that leaves meanwhile gets its answer at once, and the program is not idle before the end.
+func TestRequestIsReadAnewOnceWhatAFetchKeptIsReleased(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		d, _, pass := clocked(t)
+		rel := &withheld{}
+		d.releaser = rel
+		k, p := take(d, "a", "safe")
+		end(d, p, logic.ReadDone)
+		pass(250 * time.Millisecond)
+		rel.then[0]()
+		drive(d)
+		end(d, p, logic.TimedOut)
+		if len(p.sent) != 2 || len(rel.then) != 2 {
+			t.Fatalf("%d sends, %d releases", len(p.sent), len(rel.then))
+		}
+		if leaves {
+			k.Leave()
+			drive(d)
+			if a := answerOf(t, k); a.Verdict != Left || len(d.requests) != 1 {
+				t.Errorf("%v, %d requests are known", a.Verdict, len(d.requests))
+			}
+		}
+		rel.then[1]()
+		drive(d)
+		if leaves && (len(p.sent) != 2 || len(d.requests) != 0) || !leaves && (len(p.sent) != 3 || p.sent[2].to.Server != "r1") {
+			t.Errorf("client has left %v: %d sends, %d requests are known", leaves, len(p.sent), len(d.requests))
+		}
 	}
 }
 
@@ -246,3 +301,8 @@
 type askedAt struct{ addrs []string }
 
 func (a *askedAt) Release(_ string, addrs []string) { a.addrs = addrs }
+
+func (a *askedAt) ReleaseThen(_ string, addrs []string, _ time.Duration, then func()) {
+	a.addrs = addrs
+	then()
+}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -9,20 +9,21 @@
 
 // attempt is one send of a request. Its transport reports to it from goroutines of its own.
 type attempt struct {
-	d       *Dispatcher
-	r       *request
-	n       int
-	server  string
-	addr    string
-	role    logic.Role
-	sentAt  time.Time
-	until   time.Time // its replica was told that it is waited for until then
-	out     Attempt
-	stream  Stream // the client's, once it was handed over
-	beganAt time.Time
-	dropped bool                // given up: its stream is no longer wanted
-	noting  bool                // its intent is being noted, so nothing of it has left
-	end     func(logic.Outcome) // takes how it ended, where it was noted
+	d        *Dispatcher
+	r        *request
+	n        int
+	server   string
+	addr     string
+	role     logic.Role
+	sentAt   time.Time
+	released bool      // the state that it was to fetch was let go meanwhile
+	until    time.Time // its replica was told that it is waited for until then
+	out      Attempt
+	stream   Stream // the client's, once it was handed over
+	beganAt  time.Time
+	dropped  bool                // given up: its stream is no longer wanted
+	noting   bool                // its intent is being noted, so nothing of it has left
+	end      func(logic.Outcome) // takes how it ended, where it was noted
 }
 
 // send makes an attempt, unless a rule forbids it: then it ends at once as not sent.
--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -8,12 +8,24 @@
 	"github.com/valyala/fasthttp"
 )
 
-// call makes a call without a body, which is no attempt, and gives the status of its answer.
-func (p *Pool) call(addr, method, path string, limit time.Duration) (status int, err error) {
-	until := time.Now().Add(limit)
+// call is one without a body, which is no attempt.
+type call struct {
+	addr, method, path string
+	limit              time.Duration
+	fresh              bool // on a new connection, as an idle one may have fallen silent; if need be beyond the pool's bound
+}
+
+// make makes a call and gives the status of its answer.
+func (p *Pool) make(q call) (status int, err error) {
+	until := time.Now().Add(q.limit)
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
-	c, err := p.get(ctx, addr, false)
+	var c *conn
+	if q.fresh {
+		c, err = p.dial(ctx, q.addr, freshMost)
+	} else {
+		c, err = p.get(ctx, q.addr, false)
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -21,9 +33,9 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(method)
-	req.SetRequestURI(path)
-	req.Header.SetHost(addr)
+	req.Header.SetMethod(q.method)
+	req.SetRequestURI(q.path)
+	req.Header.SetHost(q.addr)
 	bw := bufio.NewWriter(c)
 	err = req.Write(bw)
 	if err == nil {
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -49,7 +49,9 @@
 	settle     = 2 * time.Millisecond // some round trips
 	// A replica may say a further answer some milliseconds after the one that was read. It must be seen before the next request is sent,
 	// whose answer it would be taken for.
-	restLeast   = 30 * time.Millisecond
+	restLeast = 30 * time.Millisecond
+	// Connections beyond the bound for calls that must not wait behind attempts. They come out of what the process keeps free.
+	freshMost   = 8
 	readBuffer  = 8 << 10
 	writeBuffer = 16 << 10
 )
@@ -85,7 +87,7 @@
 // waited for that.
 func (p *Pool) get(ctx context.Context, addr string, once bool) (*conn, error) {
 	if once {
-		c, err := p.dial(ctx, addr)
+		c, err := p.dial(ctx, addr, 0)
 		if err != nil {
 			return nil, err
 		}
@@ -98,7 +100,7 @@
 	for {
 		c, fresh := p.takeIdle(addr)
 		if c == nil {
-			return p.dial(ctx, addr)
+			return p.dial(ctx, addr, 0)
 		}
 		if fresh && quiet(c.Conn) {
 			return c, nil
@@ -122,8 +124,9 @@
 	return nil, false
 }
 
-func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	limit, err := p.reserve()
+// dial makes a connection, which may be one of so many beyond the bound.
+func (p *Pool) dial(ctx context.Context, addr string, beyond int) (*conn, error) {
+	limit, err := p.reserve(beyond)
 	if err != nil {
 		return nil, err
 	}
@@ -136,8 +139,9 @@
 	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer), addr: addr}, nil
 }
 
-// reserve takes the place of a connection, if need be that of the idle one that was used the longest ago.
-func (p *Pool) reserve() (limit time.Duration, err error) {
+// reserve takes the place of a connection, if need be that of the idle one that was used the longest ago, or one of so many beyond the
+// bound.
+func (p *Pool) reserve(beyond int) (limit time.Duration, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open < p.most {
@@ -150,6 +154,10 @@
 			oldest = all[0]
 		}
 	}
+	if oldest == nil && p.open < p.most+beyond {
+		p.open++
+		return p.dialTimeout, nil
+	}
 	if oldest == nil {
 		return 0, errNoRoom
 	}
--- a/internal/replica/release.go
+++ b/internal/replica/release.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,7 +34,17 @@
 
 // Release asks the replicas in turn, and again from the first, until one has answered: each of them can release everything. None of
 // them may be up at this moment, and those that hang must not keep the others from being asked in time.
-func (l *Releaser) Release(id string, addrs []string) {
+func (l *Releaser) Release(id string, addrs []string) { l.start(id, addrs, func() {}) }
+
+// ReleaseThen is Release, and calls then once: when a replica has answered, or after a time, whichever comes first.
+func (l *Releaser) ReleaseThen(id string, addrs []string, within time.Duration, then func()) {
+	var once sync.Once
+	confirmed := func() { once.Do(then) }
+	time.AfterFunc(within, confirmed)
+	l.start(id, addrs, confirmed)
+}
+
+func (l *Releaser) start(id string, addrs []string, confirmed func()) {
 	if len(addrs) == 0 {
 		return
 	}
@@ -45,20 +57,24 @@
 		defer l.open.Add(-1)
 		l.room <- struct{}{}
 		defer func() { <-l.room }()
-		l.ask(id, addrs)
+		if l.ask(id, addrs) {
+			confirmed()
+		}
 	}()
 }
 
-// ask makes the calls for one request.
-func (l *Releaser) ask(id string, addrs []string) {
+// ask makes the calls for one request, and tells whether a replica has answered one. All open connections may have fallen silent: only the
+// first call goes out on an idle one, and the first replica is asked once more at once where that brings nothing.
+func (l *Releaser) ask(id string, addrs []string) bool {
 	ends := time.After(releaseFor)
 	answers := make(chan error)
 	over := make(chan struct{})
 	defer close(over)
+	addrs = slices.Insert(slices.Clone(addrs), 0, addrs[0])
 	for i := 0; ; i++ {
-		addr := addrs[i%len(addrs)]
+		addr, fresh := addrs[i%len(addrs)], i > 0
 		go func() {
-			err := l.call(addr, id)
+			err := l.call(addr, id, fresh)
 			if err != nil {
 				log.Printf("release %s at %s: %v", id, addr, err)
 			}
@@ -77,7 +93,7 @@
 			select {
 			case err := <-answers:
 				if err == nil {
-					return
+					return true
 				}
 				if !whole {
 					break wait
@@ -86,7 +102,7 @@
 				break wait
 			case <-ends:
 				log.Printf("release %s: no replica has answered", id)
-				return
+				return false
 			}
 		}
 	}
@@ -99,7 +115,7 @@
 	}
 }
 
-func (l *Releaser) call(addr, id string) error {
-	_, err := l.pool.call(addr, fasthttp.MethodDelete, "/bootstrap/rooms/"+id, releaseTry)
+func (l *Releaser) call(addr, id string, fresh bool) error {
+	_, err := l.pool.make(call{addr: addr, method: fasthttp.MethodDelete, path: "/bootstrap/rooms/" + id, limit: releaseTry, fresh: fresh})
 	return err
 }
--- a/internal/replica/release_test.go
+++ b/internal/replica/release_test.go
@@ -5,9 +5,12 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"standpulley/internal/standin"
 )
 
@@ -88,3 +91,80 @@
 		t.Error("a call is under way")
 	}
 }
+
+// Guards: where all open connections have fallen silent at once, each call went out on an idle one in turn, and what was held was let go
+// seconds late. A call that must not wait finds a connection also where attempts hold all of them.
+func TestReleaseGoesOutOnNewConnections(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		pool := NewPool(8, 0, 0)
+		var first atomic.Int64 // connections that are silent: those that are open by then
+		var addrs []string
+		released := make(chan time.Time, 64)
+		for range 2 {
+			r := serverOf(t, func(c net.Conn, silent bool) {
+				for br := bufio.NewReader(c); ; {
+					var req fasthttp.Request
+					if req.Read(br) != nil {
+						return
+					}
+					if silent && first.Load() > 0 {
+						continue
+					}
+					if first.Load() > 0 {
+						released <- time.Now()
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+				}
+			}, &first)
+			addrs = append(addrs, r)
+		}
+		var idle []*conn
+		for _, addr := range addrs {
+			for range 4 {
+				c, err := pool.dial(context.Background(), addr, 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				idle = append(idle, c)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+		first.Store(1)
+		if !full {
+			for _, c := range idle {
+				pool.put(c)
+			}
+			time.Sleep(restLeast)
+		}
+		began := time.Now()
+		NewReleaser(pool).Release("a", addrs)
+		select {
+		case at := <-released:
+			if took := at.Sub(began); took > 200*time.Millisecond {
+				t.Errorf("pool full %v: released after %v", full, took)
+			}
+		case <-time.After(2 * time.Second):
+			t.Errorf("pool full %v: nothing was released", full)
+		}
+	}
+}
+
+// serverOf listens and serves each connection; those that came before silence was set are silent.
+func serverOf(t *testing.T, serve func(c net.Conn, silent bool), silence *atomic.Int64) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c, silence.Load() == 0)
+		}
+	}()
+	return ln.Addr().String()
+}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -389,7 +389,7 @@
 	pool := NewPool(8, 0, 0)
 	quiet := replicaOf(t, func(x *standin.Exchange) { x.Gone() })
 	for range 2 { // two that idle, and one that falls silent
-		c, err := pool.dial(context.Background(), quiet.Addr)
+		c, err := pool.dial(context.Background(), quiet.Addr, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
