Read the gate's count under its lock in a test

TestAllWhoFindNoPlaceAreAnswered failed once in some twenty runs under -race: the test read Gate.refused while a goroutine of dismiss counted it down.

--- a/internal/front/evict_test.go
+++ b/internal/front/evict_test.go
@@ -86,8 +86,11 @@
 			t.Fatal("there is a place for a further one")
 		}
 	}
-	if g.refused > refusedMost {
-		t.Errorf("%d wait to be closed", g.refused)
+	g.mu.Lock()
+	waiting := g.refused
+	g.mu.Unlock()
+	if waiting > refusedMost {
+		t.Errorf("%d wait to be closed", waiting)
 	}
 	for _, client := range sent[1:] {
 		wantBadGateway(t, "one without a place", client)
