Decide in one step whether a request has come before a client's connection is ended

- Whether a request had begun was noted after its bytes were read, by the server's hook.
A connection closed in between (for another's place, by operators, at the server's end) dropped a request that was read.
Bytes are now read and that is noted under one lock, and a connection on which bytes wait is no resting one.
- fasthttp's Shutdown drops what it finds on a connection behind the present answer, also what the watch for the client's end has read.
A Listener now ends its connections itself, behind what has come, before the server's Shutdown.
- Requests that came late after SIGTERM, on connections that stayed open (a new silent one did for 2.5 s), were forwarded; their streams were still under way at SIGKILL.
From 0.6 s after SIGTERM on they are refused before anything is sent.
- The times after SIGTERM counted from when the loop took the signal, which may be at the end of a reload or a start.
They count from when it came.
- A release counted as confirmed by any answer; it takes a 2xx now.

The order is lock, then descriptor; TestReadsAndEvictionsDoNotWaitForEachOther holds it.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -53,6 +53,8 @@
 		d.answer(r, Answer{Verdict: Failed, Reason: "unknown class"})
 	case d.requests[r.id] != nil:
 		d.answer(r, Answer{Verdict: Failed, Reason: "a request with this id is open"})
+	case d.ending:
+		d.answer(r, Answer{Verdict: Refused, After: fullAfter, Reason: "the program ends"})
 	case len(d.requests) >= d.bounds.Requests || d.size+r.size > d.bounds.Bytes:
 		d.answer(r, Answer{Verdict: Refused, After: fullAfter, Reason: "too many requests are open"})
 	case d.licence != nil:
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -128,6 +128,7 @@
 	bounds    Bounds
 	size      int // of the open requests
 	licence   Licence
+	ending    bool // nothing more is taken
 }
 
 // Bounds are those of the table of open requests.
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -24,6 +24,13 @@
 	}
 }
 
+// StopTaking refuses what comes from now on, before anything of it is sent: it could not be finished before the program is killed.
+func (d *Dispatcher) StopTaking() { d.post(stopTaking{}) }
+
+type stopTaking struct{}
+
+func (stopTaking) apply(d *Dispatcher) { d.ending = true }
+
 // Move ends the streams whose clients ask another dispatcher for the rest, as the program is about to be killed. They
 // are spread over a time, as all of their prompts are read anew. The youngest go first: the others may yet end.
 func (d *Dispatcher) Move(over time.Duration) { d.post(moving(over)) }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -25,11 +25,13 @@
 	readAt time.Time // when bytes last came
 	ahead  []byte    // what came behind the request that is being answered, and was read while its client was watched
 
-	gate  *Gate
-	place *list.Element // among the waiting, guarded by the gate
-	since time.Time     // it has been among them since, guarded by the gate
-	began bool          // a request has begun to come since the last answer, guarded by the gate
-	gone  bool          // guarded by the gate
+	gate   *Gate
+	owner  *Listener     // that has it, guarded by the gate
+	place  *list.Element // among the waiting, guarded by the gate
+	since  time.Time     // it has been among them since, guarded by the gate
+	began  bool          // bytes of a request were read since the last answer, guarded by the gate
+	served bool          // a request was answered on it, guarded by the gate
+	gone   bool          // guarded by the gate
 
 	coming *list.Element // among those that read a body, guarded by the gate
 	held   int           // bytes of it
@@ -47,7 +49,7 @@
 // Close ends the connection. What was just answered has to reach the client, so it is told of the end first, and what it still sends is
 // read: closing over unread bytes would reset the connection, and the answer might go with it.
 func (c *Conn) Close() error {
-	if c.mayBeAnswered() {
+	if c.hasBegun() {
 		c.rest(true) // it may be closed sooner where its place is wanted
 		linger(c.Conn)
 	}
@@ -66,8 +68,7 @@
 	}
 }
 
-// Read gives back first what a watch has read. Where the time of a resting connection is over just as a request comes, it has come; one
-// that is coming keeps to its time.
+// Read gives back first what a watch has read.
 func (c *Conn) Read(p []byte) (int, error) {
 	if len(c.ahead) > 0 && len(p) > 0 {
 		n := copy(p, c.ahead)
@@ -76,14 +77,81 @@
 		}
 		return n, nil
 	}
+	if !c.hasBegun() {
+		return c.readFirst(p)
+	}
 	n, err := c.Conn.Read(p)
 	c.came(n)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.mayBeAnswered() {
-		if n, _ := c.arrived(p); n > 0 {
-			return n, nil
+	return n, err
+}
+
+// readFirst reads the first bytes of a request. Whoever ends a resting connection must know whether a request on it was read: it is owed
+// an answer from then on. So the bytes are read and that is noted in one step, under the gate's lock. Where the time of a resting
+// connection is over just as a request comes, it has come.
+func (c *Conn) readFirst(p []byte) (n int, err error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		n, err = c.Conn.Read(p)
+		c.came(n)
+		return n, err
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	for {
+		waited := raw.Read(func(fd uintptr) (come bool) { return peeked(int(fd)) })
+		if waited != nil && !errors.Is(waited, os.ErrDeadlineExceeded) {
+			return 0, waited
+		}
+		n, err = c.take(raw, p)
+		c.came(n)
+		switch {
+		case err != syscall.EAGAIN && err != syscall.EINTR:
+			return n, err
+		case waited != nil:
+			return 0, waited
 		}
 	}
-	return n, err
+}
+
+// peeked tells whether a read would not have to wait.
+func peeked(fd int) bool {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err != syscall.EAGAIN && err != syscall.EINTR
+}
+
+// take reads what has come, without waiting, and notes that a request has begun. A connection that was ended gives nothing. The gate is
+// locked before the descriptor is held, as whoever closes it waits under the lock until nobody holds it.
+func (c *Conn) take(raw syscall.RawConn, p []byte) (n int, err error) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.gone {
+		return 0, net.ErrClosed
+	}
+	held := raw.Control(func(fd uintptr) { n, _, err = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT) })
+	switch {
+	case held != nil:
+		return 0, held
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	c.began = true
+	return n, nil
+}
+
+// waits tells whether bytes have come that nobody has read.
+func (c *Conn) waits() (some bool) {
+	c.look(func(fd int) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		some = n > 0 && err == nil
+		return false
+	})
+	return some
 }
 
 // look lets a client's descriptor be looked at, without waiting. It tells whether that, or the descriptor itself, shows that the client has
@@ -369,7 +437,7 @@
 				return
 			}
 			handler(ctx, body)
-			if !core.Phases.Keep() {
+			if !core.Phases.Keep() && len(c.ahead) == 0 { // what was read behind it is owed an answer too
 				ctx.SetConnectionClose()
 			}
 		},
--- a/internal/front/evict_test.go
+++ b/internal/front/evict_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -121,3 +122,98 @@
 		}
 	}
 }
+
+// Guards: whether a request had begun was noted some time after its first bytes had been read. In between its connection counted as a
+// resting one and was closed without an answer, for another's place, by operators or at the server's end. The same where its bytes had come
+// and nobody had read them.
+func TestConnectionWithARequestIsNoRestingOne(t *testing.T) {
+	ends := map[string]func(g *Gate, l *Listener, other net.Conn){
+		"eviction":     func(g *Gate, _ *Listener, other net.Conn) { g.enter(other) },
+		"sent away":    func(g *Gate, _ *Listener, _ net.Conn) { g.Empty(0) },
+		"server's end": func(g *Gate, l *Listener, _ net.Conn) { g.end(l) },
+	}
+	for name, end := range ends {
+		for _, read := range []int{0, 1, len(wholeRequest)} {
+			sent, accepted := fill(t, 2, wholeRequest)
+			g := NewGate(1, 1)
+			c, l := g.enter(accepted[0]), &Listener{gate: g}
+			g.own(c, l)
+			c.served = true
+			if n, err := io.ReadFull(c, make([]byte, read)); err != nil {
+				t.Fatal(n, err)
+			}
+			end(g, l, accepted[1])
+			if name == "eviction" {
+				wantBadGateway(t, name, sent[0])
+				continue
+			}
+			if rest, err := io.ReadAll(io.LimitReader(c, int64(len(wholeRequest)-read))); err != nil || len(rest) != len(wholeRequest)-read || !c.busy() {
+				t.Errorf("%s after %d bytes: the request can't be read: %v", name, read, err)
+			}
+		}
+	}
+}
+
+// A resting connection ends with its server, at once where it has served a request; nothing more is read on it.
+func TestRestingConnectionsEndWithTheirServer(t *testing.T) {
+	sent, accepted := fill(t, 3, "")
+	g := NewGate(4, 1)
+	served, fresh, another := g.enter(accepted[0]), g.enter(accepted[1]), g.enter(accepted[2])
+	l := &Listener{gate: g}
+	g.own(served, l)
+	g.own(fresh, l)
+	g.own(another, &Listener{gate: g})
+	served.served = true
+	if open := g.end(l); open != 1 {
+		t.Errorf("%d are open", open)
+	}
+	if _, err := sent[0].Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the one that has served: %v", err)
+	}
+	if _, err := served.Read(make([]byte, 1)); err == nil {
+		t.Error("it can be read after its end")
+	}
+	time.Sleep(firstComes)
+	if open := g.end(l); open != 0 {
+		t.Errorf("%d are open", open)
+	}
+	if fresh.busy() || !another.busy() {
+		t.Error("another server's connection has ended, or its own has not")
+	}
+}
+
+// Guards: whoever closes a connection under the gate's lock waits until nobody holds its descriptor; a reader that held it and wanted the
+// lock stopped the program for good.
+func TestReadsAndEvictionsDoNotWaitForEachOther(t *testing.T) {
+	const rounds, clients = 50, 8
+	finished := make(chan bool)
+	go func() {
+		defer close(finished)
+		for range rounds {
+			sent, accepted := fill(t, clients, "")
+			g := NewGate(1, 1)
+			var readers sync.WaitGroup
+			for i, tcp := range accepted {
+				c := g.enter(tcp)
+				if c == nil {
+					continue
+				}
+				readers.Go(func() {
+					for b := make([]byte, 1); ; {
+						if _, err := c.Read(b); err != nil {
+							return
+						}
+						c.rest(false)
+					}
+				})
+				readers.Go(func() { _, _ = io.WriteString(sent[i], wholeRequest); _ = sent[i].Close() })
+			}
+			readers.Wait()
+		}
+	}()
+	select {
+	case <-finished:
+	case <-time.After(30 * time.Second):
+		t.Fatal("they wait for each other")
+	}
+}
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -34,6 +34,7 @@
 	EvictedBegun dispatch.Cause = "evicted_begun" // the same, while a request was coming: it was answered 502
 	NoPlace      dispatch.Cause = "no_place"      // it was new, and every place had a request: it was answered 502
 	SentAway     dispatch.Cause = "sent_away"     // operators empty the program
+	Leaving      dispatch.Cause = "leaving"       // its server ends, and no request was on it
 )
 
 // closed tells of a connection that is ended. The gate is locked.
@@ -84,7 +85,7 @@
 // evict closes a connection in favor of another. A request may have begun to come on it, or have come whole by now: then its client is
 // answered. The gate is locked.
 func (g *Gate) evict(c *Conn) {
-	if !c.began {
+	if !c.began && !c.waits() {
 		g.closed(Evicted, c.Conn)
 		g.leave(c)
 		return
@@ -154,6 +155,10 @@
 	}
 	c.gone = true
 	g.open--
+	if c.owner != nil {
+		c.owner.open--
+		c.owner = nil
+	}
 	if c.place != nil {
 		g.waiting.Remove(c.place)
 		c.place = nil
@@ -211,13 +216,52 @@
 	defer g.mu.Unlock()
 	for e := g.waiting.Front(); e != nil; {
 		c := e.Value.(*Conn)
-		if e = e.Next(); !c.began && time.Since(c.since) >= silent {
-			g.closed(SentAway, c.Conn)
-			g.leave(c)
+		if e = e.Next(); time.Since(c.since) >= silent {
+			g.closeResting(c, SentAway)
 		}
 	}
 }
 
+// closeResting closes a connection on which no request has come. The gate is locked.
+func (g *Gate) closeResting(c *Conn, cause dispatch.Cause) {
+	if !c.began && !c.waits() {
+		g.closed(cause, c.Conn)
+		g.leave(c)
+	}
+}
+
+// firstComes is how long a client that has connected has to begin its first request before its server's end closes the connection.
+const firstComes = 200 * time.Millisecond
+
+// end closes the resting connections of a Listener that is at its end, and tells how many are open.
+func (g *Gate) end(l *Listener) (open int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l.leaving = true
+	for e := g.waiting.Front(); e != nil; {
+		c := e.Value.(*Conn)
+		if e = e.Next(); c.owner == l && (c.served || time.Since(c.since) >= firstComes) {
+			g.closeResting(c, Leaving)
+		}
+	}
+	return l.open
+}
+
+// own books that a Listener has a connection.
+func (g *Gate) own(c *Conn, l *Listener) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.owner != nil {
+		c.owner.open--
+	}
+	c.owner = l
+	if c.gone {
+		c.owner = nil
+	} else {
+		l.open++
+	}
+}
+
 // busy takes the connection out of those that may be closed. It reports false if it is closed already.
 func (c *Conn) busy() bool {
 	g := c.gate
@@ -230,15 +274,16 @@
 	return !c.gone
 }
 
-// mayBeAnswered tells whether a request has begun to come, so that an answer may be the last thing that was said.
-func (c *Conn) mayBeAnswered() bool {
+// hasBegun tells whether bytes of a request were read since the last answer.
+func (c *Conn) hasBegun() bool {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	return !c.gone && c.began
 }
 
 // rest puts it back as the one that has waited the least; began tells that a request has begun to come. It tells whether the connection is
-// to end, as clients are sent away: its answer may have begun before it could say that it is the last. Then Close is owed.
+// to end, as clients are sent away or its server ends: its answer may have begun before it could say that it is the last. Then Close is
+// owed. A request that was read behind the one before, or has come, is answered first.
 func (c *Conn) rest(began bool) (ends bool) {
 	g := c.gate
 	g.mu.Lock()
@@ -247,8 +292,13 @@
 		return false
 	}
 	c.wait()
-	if ends = g.away && !began; !ends {
-		c.began = began
+	if began || len(c.ahead) > 0 {
+		c.began = true
+		return false
+	}
+	c.served = true
+	if ends = (g.away || c.owner != nil && c.owner.leaving) && !c.waits(); !ends {
+		c.began = false
 	}
 	return ends
 }
--- a/internal/front/port.go
+++ b/internal/front/port.go
@@ -47,7 +47,7 @@
 
 // Attach makes a Listener that gets every connection from now on. The one before it, if any, ends.
 func (p *Port) Attach() *Listener {
-	l := &Listener{addr: p.tcp.Addr(), conns: make(chan net.Conn), end: make(chan struct{})}
+	l := &Listener{gate: p.gate, addr: p.tcp.Addr(), conns: make(chan net.Conn), end: make(chan struct{})}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.to
@@ -138,13 +138,18 @@
 
 // Listener hands a server the connections of a Port.
 type Listener struct {
+	gate    *Gate
+	open    int  // connections that it has handed out, guarded by the gate
+	leaving bool // each ends with its present request, guarded by the gate
+
 	addr  net.Addr
 	conns chan net.Conn
 	end   chan struct{}
 	once  sync.Once
 }
 
-func (l *Listener) give(c net.Conn) bool {
+func (l *Listener) give(c *Conn) bool {
+	l.gate.own(c, l)
 	select {
 	case l.conns <- c:
 		return true
@@ -169,5 +174,15 @@
 	return nil
 }
 
+const endEvery = 10 * time.Millisecond
+
+// End ends the connections that the Listener has handed out, each behind its present request and those that have come by then, and
+// returns when none is open.
+func (l *Listener) End() {
+	for l.gate.end(l) > 0 {
+		time.Sleep(endEvery)
+	}
+}
+
 // Addr is the Port's address.
 func (l *Listener) Addr() net.Addr { return l.addr }
--- a/internal/program/drain.go
+++ b/internal/program/drain.go
@@ -30,19 +30,22 @@
 	return max(min(longest, killedAtMost)+killedAfter-vacatedAhead, 0)
 }
 
-// vacate sees to it that SIGKILL, which may follow a SIGTERM that comes now, finds nothing. What is unanswered shortly
+// vacate sees to it that SIGKILL, which may follow a SIGTERM that came at a time, finds nothing. What comes when clients have had their
+// time to go is not taken any more. What is unanswered shortly
 // before it gets its answer. Streams that it would cut are moved, where that can be done, sooner: the clients that come
 // back then find another dispatcher rather than one that is being restarted next.
-func (s *stack) vacate() {
-	told, by := time.Now(), s.vacateBy()
-	time.AfterFunc(part(by, moveFrom), func() {
+func (s *stack) vacate(told time.Time) {
+	by := s.vacateBy()
+	in := func(d time.Duration) time.Duration { return time.Until(told.Add(d)) }
+	time.AfterFunc(in(min(keepOpen, by)), s.core.StopTaking)
+	time.AfterFunc(in(part(by, moveFrom)), func() {
 		over := part(by, moveOver)
 		if s.succeeded() { // then somebody will be there also later: fewer at once, and more of them may end before
 			over = time.Until(told.Add(by))
 		}
 		s.core.Move(over)
 	})
-	time.AfterFunc(by, func() { s.core.Vacate(); s.core.Move(0) })
+	time.AfterFunc(in(by), func() { s.core.Vacate(); s.core.Move(0) })
 }
 
 // succeeded tells whether another process, a new version, listens at the clients' address after this one has closed it.
@@ -57,16 +60,16 @@
 
 func part(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
 
-// drain accepts for a while longer and finishes what was taken.
-func (p *program) drain() error {
+// drain accepts for a while longer and finishes what was taken. All of its times count from when SIGTERM came.
+func (p *program) drain(told time.Time) error {
 	if err := p.now.core.Phases.Enter(dispatch.Draining); err != nil {
 		return err
 	}
+	p.toldToStop = told
 	close(p.draining)
-	told := time.Now()
-	p.now.vacate()
-	log.Print("draining")
-	time.Sleep(acceptLonger)
+	p.now.vacate(told)
+	log.Printf("draining, %v after SIGTERM", time.Since(told))
+	time.Sleep(time.Until(told.Add(acceptLonger)))
 	done := make(chan struct{})
 	for _, port := range p.ports {
 		go func() {
--- a/internal/program/force.go
+++ b/internal/program/force.go
@@ -120,8 +120,8 @@
 		select {
 		case <-time.After(handOver):
 		case <-p.draining:
-			before.vacate()
-			time.Sleep(acceptLonger)
+			before.vacate(p.toldToStop)
+			time.Sleep(time.Until(p.toldToStop.Add(acceptLonger)))
 		}
 		if err := before.finish(); err != nil {
 			log.Printf("the configuration before: %v", err)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -23,6 +23,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"standpulley/internal/appliance"
 	"standpulley/internal/config"
@@ -33,22 +34,23 @@
 
 // program is the process: the stack in force and the ports that outlive it.
 type program struct {
-	ports    map[string]*front.Port
-	pool     *replica.Pool // this and the gate are the same for all stacks, as the limits are the process's
-	gate     *front.Gate
-	now      *stack
-	live     atomic.Pointer[stack] // the same, for the operators' door
-	door     *front.Port           // and that door
-	doorAt   string
-	counts   dispatch.Counts // of all stacks
-	applied  atomic.Int64    // files taken at SIGHUP
-	rejected atomic.Int64    // and those turned down
-	away     atomic.Bool     // operators have emptied the program
-	shared   bool            // another process may listen at the clients' address: a new version takes over there
-	old      sync.WaitGroup  // stacks that finish what they had taken
-	draining chan struct{}   // closed when the program drains
-	agreed   *agreed         // nil where dispatchers do not agree on settings
-	licence  dispatch.Licence
+	ports      map[string]*front.Port
+	pool       *replica.Pool // this and the gate are the same for all stacks, as the limits are the process's
+	gate       *front.Gate
+	now        *stack
+	live       atomic.Pointer[stack] // the same, for the operators' door
+	door       *front.Port           // and that door
+	doorAt     string
+	counts     dispatch.Counts // of all stacks
+	applied    atomic.Int64    // files taken at SIGHUP
+	rejected   atomic.Int64    // and those turned down
+	away       atomic.Bool     // operators have emptied the program
+	shared     bool            // another process may listen at the clients' address: a new version takes over there
+	old        sync.WaitGroup  // stacks that finish what they had taken
+	draining   chan struct{}   // closed when the program drains
+	toldToStop time.Time       // when SIGTERM came; set before draining is closed
+	agreed     *agreed         // nil where dispatchers do not agree on settings
+	licence    dispatch.Licence
 }
 
 // reload reads the configuration anew and puts it in force; a faulty one changes nothing.
@@ -91,9 +93,20 @@
 	return c
 }
 
+// stampedSignals gives the channel on which comes when the first of some signals came. Whoever takes it may be busy with a reload by then.
+func stampedSignals(which ...os.Signal) <-chan time.Time {
+	came, stamped := signals(which...), make(chan time.Time, 1)
+	go func() {
+		sig := <-came
+		stamped <- time.Now()
+		log.Printf("signal: %v", sig)
+	}()
+	return stamped
+}
+
 // serve is the program from start to exit; load reads its configuration, and m is nil on the platform.
 func serve(load func() (config.Config, error), m *managed) error {
-	stop, hangUp := signals(syscall.SIGTERM, syscall.SIGINT), signals(syscall.SIGHUP)
+	hangUp, stop := signals(syscall.SIGHUP), stampedSignals(syscall.SIGTERM, syscall.SIGINT)
 	cfg, err := load()
 	if err != nil {
 		return err
@@ -137,9 +150,8 @@
 	go p.sendAway(ctx)
 	for {
 		select {
-		case sig := <-stop:
-			log.Printf("signal: %v", sig)
-			err := p.drain()
+		case told := <-stop:
+			err := p.drain(told)
 			if p.agreed != nil {
 				if k := p.agreed.keeper; k != nil {
 					err = errors.Join(err, k.Close())
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -35,6 +35,7 @@
 	platform *platform.Front             // if there is one
 	chat     *chat.Front                 // likewise
 	fronts   map[string]*fasthttp.Server // by address
+	accepts  []*front.Listener           // of the fronts
 	heard    chan struct{}
 	ctx      context.Context // ends with the stack
 	cancel   context.CancelFunc
@@ -184,6 +185,7 @@
 func (s *stack) open(ports map[string]*front.Port, wait time.Duration) error {
 	for addr, server := range s.fronts {
 		ln := ports[addr].Attach()
+		s.accepts = append(s.accepts, ln)
 		go func() {
 			if err := server.Serve(ln); err != nil {
 				log.Printf("front at %s: %v", addr, err)
@@ -206,8 +208,11 @@
 			return err
 		}
 	}
+	for _, ln := range s.accepts {
+		ln.End() // first: what the server's own end finds on a connection it drops, read or not
+	}
 	for addr, server := range s.fronts {
-		if err := server.Shutdown(); err != nil { // returns when its connections are done
+		if err := server.Shutdown(); err != nil {
 			log.Printf("front at %s: %v", addr, err)
 		}
 	}
--- a/internal/replica/release.go
+++ b/internal/replica/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log"
 	"slices"
 	"sync"
@@ -116,6 +117,9 @@
 }
 
 func (l *Releaser) call(addr, id string, fresh bool) error {
-	_, err := l.pool.make(call{addr: addr, method: fasthttp.MethodDelete, path: "/bootstrap/rooms/" + id, limit: releaseTry, fresh: fresh})
+	status, err := l.pool.make(call{addr: addr, method: fasthttp.MethodDelete, path: "/bootstrap/rooms/" + id, limit: releaseTry, fresh: fresh})
+	if err == nil && (status < fasthttp.StatusOK || status >= fasthttp.StatusMultipleChoices) {
+		return fmt.Errorf("answered %d", status) // it came to somebody, who may have let go of nothing
+	}
 	return err
 }
