--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -22,6 +22,7 @@
 	left       atomic.Bool // the client has gone; any goroutine may find that out
 	clientGone func() bool
 	answered   bool
+	answeredAt time.Duration
 	verdict    Verdict
 	sent       int
 	out        map[int]*attempt // by number
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -34,6 +34,7 @@
 	if out == logic.ReadDone && at.role != logic.Reader {
 		out = logic.ServerError // only a reader can say that nothing but a read was done
 	}
+	d.checkEnd(at, out)
 	if !neverRan(out) {
 		if at.dropped && at.stream == nil {
 			out = logic.Cancelled
@@ -73,7 +74,7 @@
 		Took: d.clock().Sub(at.sentAt), Tokens: res.Tokens, NoState: res.NoState}}
 	if leftover && !r.answered {
 		r.held.releasing = true
-		d.releaseThen(r, ReadUncertain, releaseFirst, told)
+		d.releaseThen(r, ReadUncertain, releaseFirst, func(bool) message { return told })
 		return
 	}
 	told.apply(d)
@@ -109,7 +110,7 @@
 
 // settle forgets a request that is answered and has no attempt out.
 func (d *Dispatcher) settle(r *request) {
-	if r.answered && len(r.out) == 0 && !r.held.releasing && d.requests[r.id] == r {
+	if d.mayForget(r) {
 		delete(d.requests, r.id)
 		d.size -= r.size
 		r.parcel = nil // its timers still know the request for a while, and must not keep its body
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,7 +87,7 @@
 type Releaser interface {
 	Release(id string, addrs []string)
 	// ReleaseThen does the same and calls then once, from any goroutine: when a replica has confirmed it, or after a time.
-	ReleaseThen(id string, addrs []string, within time.Duration, then func())
+	ReleaseThen(id string, addrs []string, within time.Duration, then func(confirmed bool))
 }
 
 // Prober asks replicas whether they are well.
@@ -208,6 +208,7 @@
 			m.apply(d)
 		case <-timer.C:
 		case <-d.done:
+			d.checkExit()
 			return
 		}
 		d.ring()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -48,9 +48,9 @@
 
 func (r *released) Release(id string, addrs []string) { *r = append(*r, id) }
 
-func (r *released) ReleaseThen(id string, _ []string, _ time.Duration, then func()) {
+func (r *released) ReleaseThen(id string, _ []string, _ time.Duration, then func(bool)) {
 	*r = append(*r, id)
-	then()
+	then(true)
 }
 
 var classes = []logic.Class{
--- a/internal/dispatch/held.go
+++ b/internal/dispatch/held.go
@@ -17,6 +17,7 @@
 	addr      string    // of the replica; empty: nothing is held
 	mayAppear time.Time // until then a read that was given up may end on its replica, and leave a state
 	timer     int       // number of the timer in force
+	hold      int       // number of the state, counted on when it is fetched or released
 	releasing bool      // the end of an attempt waits until what it may have left is released
 }
 
@@ -36,6 +37,8 @@
 	switch {
 	case out == logic.ReadDone:
 		h.addr = at.addr
+		h.hold++
+		d.checkHeld(at.r)
 		d.releaseAfter(at.r, heldPart)
 	case at.role == logic.Reader && !neverRan(out): // it may have ended well just as its connection was closed or broke
 		h.addr = at.addr
@@ -58,6 +61,7 @@
 func (d *Dispatcher) fetched(r *request) {
 	r.held.addr = ""
 	r.held.timer++
+	r.held.hold++
 }
 
 // releaseAfter lets go of what is held after a part of the time that the settings allow, unless the clock is set again before. It goes
@@ -69,10 +73,11 @@
 	r.held.timer++
 	number := r.held.timer
 	d.after(time.Duration(part*float64(d.set.ReleaseWithin)), func() {
-		if d.requests[r.id] != r || r.held.timer != number || r.held.addr == "" || r.outAt(logic.Reader) {
+		if d.requests[r.id] != r || r.held.timer != number || !r.mayRelease() {
 			return
 		}
-		d.releaseThen(r, FetchUnproven, d.set.ReleaseWithin, stateReleased{r, number})
+		hold := r.held.hold
+		d.releaseThen(r, FetchUnproven, d.set.ReleaseWithin, func(confirmed bool) message { return stateReleased{r, number, hold, confirmed} })
 		if r.fetching() {
 			d.releaseAfter(r, 1)
 		}
@@ -83,10 +88,16 @@
 type stateReleased struct {
 	r     *request
 	timer int // that set off the call
+	hold  int // the state that was let go
+
+	confirmed bool
 }
 
 // apply tells the decision module, unless something new is held since.
 func (s stateReleased) apply(d *Dispatcher) {
+	if s.confirmed && s.r.held.hold == s.hold {
+		s.r.held.hold++
+	}
 	if d.requests[s.r.id] != s.r || s.r.held.timer != s.timer && !s.r.fetching() {
 		return
 	}
@@ -97,9 +108,9 @@
 }
 
 // releaseThen lets go of all that is held for a request, and posts a message once a replica has confirmed that, or after a time.
-func (d *Dispatcher) releaseThen(r *request, cause Cause, within time.Duration, then message) {
+func (d *Dispatcher) releaseThen(r *request, cause Cause, within time.Duration, then func(confirmed bool) message) {
 	d.countRelease(r.id, r.held.addr, cause)
-	d.releaser.ReleaseThen(r.id, d.releaseOrder(r.held.addr), within, func() { d.post(then) })
+	d.releaser.ReleaseThen(r.id, d.releaseOrder(r.held.addr), within, func(confirmed bool) { d.post(then(confirmed)) })
 }
 
 // outAt tells whether an attempt at a server of a role is out.
--- a/internal/dispatch/keyed_test.go
+++ b/internal/dispatch/keyed_test.go
@@ -58,7 +58,7 @@
 		}
 		r := d.requests["a"]
 		r.ranSince = r.ranSince.Add(-time.Minute)
-		err := d.leave(r, d.servers["w1"])()
+		err := d.leave(&attempt{d: d, r: r}, d.servers["w1"])()
 		if errors.Is(err, ErrClosed) != (window < time.Minute) {
 			t.Errorf("window %v, a minute later: %v", window, err)
 		}
--- a/internal/dispatch/licence.go
+++ b/internal/dispatch/licence.go
@@ -60,42 +60,6 @@
 	}
 }
 
-// Why an attempt may not leave any more, though it was routed.
-var (
-	ErrLapsed    = errors.New("there is no licence to send")
-	ErrWithdrawn = errors.New("the server was withdrawn meanwhile")
-	ErrClosed    = errors.New("the window for repeats has closed")
-	ErrLeft      = errors.New("the client has gone")
-)
-
-// leave is what an attempt at a server asks before its first byte, whatever kind of send it is. A lease that was renewed since the
-// attempt was routed goes with a list that may be newer than the one it was routed by; as that list is acted on before the lease is
-// renewed, the lease is asked first. Where replicas throw repeats away they do so only for a time, which connecting takes from.
-func (d *Dispatcher) leave(r *request, s *Server) func() error {
-	lic, once, again := d.licence, r.class.Repeat == logic.Unsafe, r.unsure() || len(r.out) > 1 || r.ask.Resumed
-	var closes time.Time
-	if r.unsure() && r.class.Repeat == logic.Keyed {
-		closes = r.ranSince.Add(r.class.Window)
-	}
-	return func() error {
-		if lic != nil {
-			if err := lic.Send(once, again); err != nil {
-				return errors.Join(ErrLapsed, err)
-			}
-		}
-		if r.clientLeft() {
-			return ErrLeft
-		}
-		if s.withdrawn.Load() {
-			return ErrWithdrawn
-		}
-		if !closes.IsZero() && !time.Now().Before(closes) {
-			return ErrClosed
-		}
-		return nil
-	}
-}
-
 func (d *Dispatcher) mark() string {
 	if d.licence == nil {
 		return ""
--- a/internal/dispatch/noted.go
+++ b/internal/dispatch/noted.go
@@ -74,13 +74,3 @@
 		d.giveUp(r, Answer{Verdict: Refused, After: notedAfter, Reason: err.Error()}, NotRecorded)
 	}
 }
-
-// away tells whether an attempt is out that has left, or may have.
-func (r *request) away() bool {
-	for _, at := range r.out {
-		if !at.noting {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/dispatch/release_test.go
+++ b/internal/dispatch/release_test.go
@@ -167,12 +167,12 @@
 // withheld is a releaser whose confirmations the test gives.
 type withheld struct {
 	ids  []string
-	then []func()
+	then []func(bool)
 }
 
 func (w *withheld) Release(id string, _ []string) { w.ids = append(w.ids, id) }
 
-func (w *withheld) ReleaseThen(id string, _ []string, _ time.Duration, then func()) {
+func (w *withheld) ReleaseThen(id string, _ []string, _ time.Duration, then func(bool)) {
 	w.ids, w.then = append(w.ids, id), append(w.then, then)
 }
 
@@ -189,7 +189,7 @@
 		if len(p.sent) != 1 || len(rel.then) != 1 {
 			t.Fatalf("%v: %d sends, %d releases", o, len(p.sent), len(rel.then))
 		}
-		rel.then[0]()
+		rel.then[0](true)
 		drive(d)
 		if len(p.sent) != 2 || p.sent[1].to.Server != "r1" {
 			t.Fatalf("%v: %d sends after the release", o, len(p.sent))
@@ -211,7 +211,7 @@
 		k, p := take(d, "a", "safe")
 		end(d, p, logic.ReadDone)
 		pass(250 * time.Millisecond)
-		rel.then[0]()
+		rel.then[0](true)
 		drive(d)
 		end(d, p, logic.TimedOut)
 		if len(p.sent) != 2 || len(rel.then) != 2 {
@@ -224,7 +224,7 @@
 				t.Errorf("%v, %d requests are known", a.Verdict, len(d.requests))
 			}
 		}
-		rel.then[1]()
+		rel.then[1](true)
 		drive(d)
 		if leaves && (len(p.sent) != 2 || len(d.requests) != 0) || !leaves && (len(p.sent) != 3 || p.sent[2].to.Server != "r1") {
 			t.Errorf("client has left %v: %d sends, %d requests are known", leaves, len(p.sent), len(d.requests))
@@ -302,7 +302,7 @@
 
 func (a *askedAt) Release(_ string, addrs []string) { a.addrs = addrs }
 
-func (a *askedAt) ReleaseThen(_ string, addrs []string, _ time.Duration, then func()) {
+func (a *askedAt) ReleaseThen(_ string, addrs []string, _ time.Duration, then func(bool)) {
 	a.addrs = addrs
-	then()
+	then(true)
 }
--- a/internal/dispatch/retune_test.go
+++ b/internal/dispatch/retune_test.go
@@ -63,7 +63,7 @@
 		end(d, p, logic.ServerError) // it may have run
 		r := d.requests["a"]
 		r.ranSince = r.ranSince.Add(-time.Minute)
-		if open := d.leave(r, d.servers["w1"])() == nil; open != (windows[0] > time.Minute) {
+		if open := d.leave(&attempt{d: d, r: r}, d.servers["w1"])() == nil; open != (windows[0] > time.Minute) {
 			t.Errorf("windows %v: open a minute later: %v", windows, open)
 		}
 	}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -85,32 +85,8 @@
 	if a.Verdict == Refused { // a refusal always says when to come back
 		a.After = max(a.After, refusedAfter)
 	}
-	r.answered, r.verdict = true, a.Verdict
+	r.answered, r.verdict, r.answeredAt = true, a.Verdict, d.now()
+	d.checkAnswer(r)
 	d.Counts.answered(r, a)
 	r.ticket.answer <- a // there is room for the one answer
 }
-
-// refusable tells whether trying again is harmless: the request runs as often as it likes, all replicas throw its repeats away, or it is
-// proven that it has not run. What is out proves nothing yet, not even at a reader, nor does a read that was given up.
-func (r *request) refusable() bool {
-	if r.class == nil || r.class.Repeat == logic.Safe || r.class.Repeat == logic.Keyed && r.class.Scope == logic.AllServers {
-		return true
-	}
-	return !r.mayRun() && !r.away() && !r.unheard
-}
-
-// unsure tells whether an attempt that has ended may have run, or may be out yet.
-func (r *request) unsure() bool { return r.ran || r.unheard }
-
-// mayRun tells whether any attempt has run, or may have, or may yet. The rest of a stream is asked for after one ran.
-func (r *request) mayRun() bool {
-	if r.ask.Resumed {
-		return true
-	}
-	for _, at := range r.out {
-		if at.role != logic.Reader && !at.noting {
-			return true
-		}
-	}
-	return r.ran
-}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -16,7 +16,8 @@
 	addr     string
 	role     logic.Role
 	sentAt   time.Time
-	released bool      // the state that it was to fetch was let go meanwhile
+	released bool // the state that it was to fetch was let go meanwhile
+	left     leftAt
 	until    time.Time // its replica was told that it is waited for until then
 	out      Attempt
 	stream   Stream // the client's, once it was handed over
@@ -31,7 +32,7 @@
 	at := &attempt{d: d, r: r, n: r.sent, server: a.Server, sentAt: d.clock()}
 	r.sent++
 	s := d.servers[a.Server]
-	if s == nil || s.Availability != logic.Ready || r.answered || !d.mayRepeat(r) {
+	if !d.maySend(r, s) {
 		d.Counts.ended(logic.NotSent)
 		d.route(logic.Event{Kind: logic.Ended, RequestID: r.id, Server: a.Server, Attempt: at.n,
 			Outcome: logic.NotSent, Over: r.answered})
@@ -44,21 +45,11 @@
 	}
 	at.until = until
 	r.out[at.n] = at
-	leave := d.leave(r, s)
+	leave := d.leave(at, s)
 	d.note(at, Target{Server: s.ID, Addr: s.Addr, Until: until,
 		Once: at.role != logic.Reader && r.class.Repeat != logic.Safe, Leave: leave, Mark: d.mark()})
 }
 
-// mayRepeat holds the rule on repeats: a request that must not run twice goes out again only when every earlier
-// attempt is proven never to have run, and none is out. What was given up proves neither, at a reader either: the close of its connection
-// does not come to a machine that is cut off.
-func (d *Dispatcher) mayRepeat(r *request) bool {
-	if r.sent > d.set.MaxAttempts {
-		return false
-	}
-	return r.class.Repeat != logic.Unsafe && !(d.licence != nil && d.licence.Once()) || len(r.out) == 0 && !r.unsure()
-}
-
 // cancel gives an attempt up, unless its stream belongs to the client already.
 func (at *attempt) cancel(cause Cause) {
 	if at.stream == nil && !at.dropped {
--- a/internal/dispatch/unheard_test.go
+++ b/internal/dispatch/unheard_test.go
@@ -64,7 +64,7 @@
 	}
 	r := d.requests["a"]
 	r.ranSince = r.ranSince.Add(-time.Minute)
-	if err := d.leave(r, d.servers["w1"])(); err == nil {
+	if err := d.leave(&attempt{d: d, r: r}, d.servers["w1"])(); err == nil {
 		t.Error("it may leave a minute later")
 	}
 }
--- a/internal/replica/release.go
+++ b/internal/replica/release.go
@@ -38,11 +38,10 @@
 func (l *Releaser) Release(id string, addrs []string) { l.start(id, addrs, func() {}) }
 
 // ReleaseThen is Release, and calls then once: when a replica has answered, or after a time, whichever comes first.
-func (l *Releaser) ReleaseThen(id string, addrs []string, within time.Duration, then func()) {
+func (l *Releaser) ReleaseThen(id string, addrs []string, within time.Duration, then func(confirmed bool)) {
 	var once sync.Once
-	confirmed := func() { once.Do(then) }
-	time.AfterFunc(within, confirmed)
-	l.start(id, addrs, confirmed)
+	time.AfterFunc(within, func() { once.Do(func() { then(false) }) })
+	l.start(id, addrs, func() { once.Do(func() { then(true) }) })
 }
 
 func (l *Releaser) start(id string, addrs []string, confirmed func()) {
