--- a/cmd/proving/main.go
+++ b/cmd/proving/main.go
@@ -18,6 +18,7 @@
 	"github.com/schollz/progressbar/v3"
 
 	"standpulley/internal/proving"
+	"standpulley/internal/soak"
 )
 
 type cli struct {
@@ -31,6 +32,7 @@
 	Lists   listsCmd         `cmd:"" help:"Measure lists of replicas: lag, load of the register, worth, beside dispatchers that go by their own registers."`
 	Back    backCmd          `cmd:"" help:"Measure the return from a loss of power: worth served second by second, as before and with the stages."`
 	Ledger  ledgerMeasureCmd `cmd:"" help:"Measure the ledger: what intents wait by mode and rate, and how long one of a million entries takes to open."`
+	Soak    soakCmd          `cmd:"" help:"Play seeds of overlapping faults on real dispatchers and replicas, and judge what clients and replicas saw."`
 	Faults  faultsCmd        `cmd:"" help:"Put in each fault on purpose and count the seeds until it is found."`
 }
 
@@ -46,6 +48,13 @@
 		}
 		return
 	}
+	if text := os.Getenv(soak.ReplicaEnv); text != "" {
+		if err := soak.RunReplica(text); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	var c cli
 	k := kong.Parse(&c, kong.Description("Trials of several dispatchers together, on loopback addresses."), kong.UsageOnError())
 	k.FatalIfErrorf(k.Run(&c))
--- /dev/null
+++ b/cmd/proving/soak.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"standpulley/internal/soak"
+)
+
+type soakCmd struct {
+	From   uint64        `default:"1" help:"The first seed."`
+	To     uint64        `default:"10" help:"The last seed."`
+	Length time.Duration `default:"10s" help:"Of the traffic of one seed."`
+	Size   float64       `default:"1" help:"Scales the number of processes; 1 is from 10 to 40."`
+	Beside int           `default:"2" help:"Seeds that are played at once."`
+}
+
+// Run plays seeds and prints a line for each, with the rules that were broken.
+func (s *soakCmd) Run(c *cli) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	binary, err := filepath.Abs(c.Binary)
+	if err != nil {
+		return err
+	}
+	var wait sync.WaitGroup
+	var mu sync.Mutex // for the output and the sums
+	broken, played := 0, 0
+	room := make(chan bool, max(s.Beside, 1))
+	for seed := s.From; seed <= s.To; seed++ {
+		room <- true
+		wait.Go(func() {
+			defer func() { <-room }()
+			findings, text := s.one(seed, soak.Program{Dispatcher: binary, Replica: self}, c.Keep)
+			mu.Lock()
+			defer mu.Unlock()
+			played++
+			if findings > 0 {
+				broken++
+			}
+			fmt.Print(text)
+		})
+	}
+	wait.Wait()
+	fmt.Printf("%d seeds, %d of them with broken rules\n", played, broken)
+	if broken > 0 {
+		return fmt.Errorf("rules were broken")
+	}
+	return nil
+}
+
+// one plays a seed and gives what was found.
+func (s *soakCmd) one(seed uint64, p soak.Program, keep string) (int, string) {
+	folder, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		return 1, err.Error() + "\n"
+	}
+	scenario := soak.Draw(seed, s.Size, s.Length)
+	rec, err := soak.Run(context.Background(), scenario, p, folder)
+	if err != nil {
+		return 1, fmt.Sprintf("seed %d: %v (its files: %s)\n", seed, err, folder)
+	}
+	findings, f := soak.Judge(rec)
+	text := fmt.Sprintf("seed %d: %d dispatchers, %d replicas; asked %d, served %d, refused %d, failed %d, left %d, unheard %d, crossed %d; held at most %v, held back %d; stall %v\n",
+		seed, scenario.Dispatchers, scenario.Readers+scenario.Writers, f.Asked, f.Served, f.Refused, f.Failed, f.Left, f.Unheard, f.Crossed,
+		f.Longest.Round(time.Millisecond), f.HeldBack, rec.Stall.Round(time.Millisecond))
+	const most = 8
+	for i, finding := range findings {
+		if i == most {
+			text += fmt.Sprintf("    and %d more\n", len(findings)-most)
+			break
+		}
+		text += "    " + finding.String() + "\n"
+	}
+	if len(findings) == 0 || keep == "" {
+		_ = os.RemoveAll(folder) // a temporary folder
+		return len(findings), text
+	}
+	if err := os.WriteFile(filepath.Join(folder, "story.txt"), []byte(scenario.Story()), 0o600); err != nil {
+		return len(findings), text + err.Error() + "\n"
+	}
+	to := soak.Files(keep, seed)
+	if err := os.MkdirAll(keep, 0o755); err == nil {
+		_ = os.RemoveAll(to) // of an earlier run
+		if err := os.Rename(folder, to); err == nil {
+			folder = to
+		}
+	}
+	return len(findings), text + "    its files: " + folder + "\n"
+}
--- /dev/null
+++ b/internal/soak/client.go
@@ -0,0 +1,307 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+)
+
+// Asked is one request as its client saw it.
+type Asked struct {
+	ID       string
+	Class    string
+	Who      string // the dispatcher
+	New      bool   // the first on its connection
+	Sent     time.Time
+	Patience time.Duration
+	Left     time.Time // when the client closed its connection; zero: it did not
+	Status   int       // 0: the connection ended without an answer
+	First    time.Time // of the answer's bytes
+	Done     time.Time
+	Tokens   int
+	Whole    bool
+	Foreign  string // a piece that no replica made for this request, or out of its place
+	Late     time.Duration
+	Why      string // how the connection ended, where there is no whole answer
+}
+
+// clients are those of all dispatchers.
+type clients struct {
+	mu    sync.Mutex // for all below
+	asked []Asked
+	next  int
+
+	classes func() []class
+	open    sync.WaitGroup
+	stop    chan struct{}
+}
+
+// clientConn is a connection that its client keeps.
+type clientConn struct {
+	c      net.Conn
+	br     *bufio.Reader
+	served int
+}
+
+// group is the clients of one dispatcher with the connections that they keep.
+type group struct {
+	all  *clients
+	d    *dispatcher
+	mu   sync.Mutex // for all below
+	idle []*clientConn
+	draw *rand.Rand
+}
+
+func (g *group) float() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draw.Float64()
+}
+
+// come has requests arrive at a dispatcher at a rate, whether or not it answers.
+func (g *group) come(perSecond float64) {
+	defer g.all.open.Done()
+	for {
+		wait := time.Duration((0.2 + 1.6*g.float()) / perSecond * float64(time.Second))
+		select {
+		case <-g.all.stop:
+			return
+		case <-time.After(wait):
+		}
+		g.all.open.Add(1)
+		go func() {
+			defer g.all.open.Done()
+			g.ask()
+		}()
+	}
+}
+
+// conn gives a connection that was kept, or a new one where the front sends any.
+func (g *group) conn() (*clientConn, bool) {
+	g.mu.Lock()
+	if n := len(g.idle); n > 0 {
+		i := g.draw.IntN(n)
+		c := g.idle[i]
+		g.idle[i] = g.idle[n-1]
+		g.idle = g.idle[:n-1]
+		g.mu.Unlock()
+		return c, true
+	}
+	g.mu.Unlock()
+	return g.dial()
+}
+
+func (g *group) dial() (*clientConn, bool) {
+	if !g.d.takesNew() {
+		return nil, false
+	}
+	c, err := net.DialTimeout("tcp", g.d.listen, time.Second)
+	if err != nil {
+		return nil, false
+	}
+	return &clientConn{c: c, br: bufio.NewReader(c)}, true
+}
+
+func (g *group) keep(c *clientConn) {
+	g.mu.Lock()
+	g.idle = append(g.idle, c)
+	g.mu.Unlock()
+}
+
+const (
+	slowClients = 0.05 // part of the clients that pause in the middle of a request
+	leaves      = 0.06 // that leave before the answer
+	repeats     = 2    // tries of a client that is refused
+	answerLate  = 500 * time.Millisecond
+	waitsLonger = time.Second // so that an answer that comes too late is seen
+)
+
+// ask makes one request, and repeats it where that is allowed: on a connection that ended between requests, and after a refusal.
+func (g *group) ask() {
+	classes := g.all.classes()
+	class := classes[int(g.float()*float64(len(classes)))]
+	patience := time.Duration((0.4 + 0.6*g.float()) * float64(class.Deadline))
+	for range repeats + 1 {
+		c, ok := g.conn()
+		if !ok {
+			return
+		}
+		a := g.try(c, class, patience)
+		g.all.record(a)
+		if a.Status == http.StatusServiceUnavailable {
+			time.Sleep(time.Duration(g.float() * float64(100*time.Millisecond)))
+		} else if a.Status != 0 || a.New || !a.Left.IsZero() {
+			return
+		}
+	}
+}
+
+func (q *clients) record(a Asked) {
+	q.mu.Lock()
+	q.asked = append(q.asked, a)
+	q.mu.Unlock()
+}
+
+func (q *clients) id() string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.next++
+	return fmt.Sprintf("%016x", q.next)
+}
+
+// try sends one request and reads its answer.
+func (g *group) try(c *clientConn, class class, patience time.Duration) (a Asked) {
+	a = Asked{ID: g.all.id(), Class: class.Name, Who: g.d.name, New: c.served == 0, Patience: patience}
+	body := `{"stream":true}`
+	text := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Object: %016x\r\n"+
+		"X-Expires-In: %dm\r\nX-Props: prompt_len=%d,max_out=40\r\nContent-Length: %d\r\n\r\n%s", a.ID, class.Name, int(g.float()*50),
+		patience.Milliseconds(), 100+int(g.float()*2000), len(body), body)
+	cut := len(text)
+	if g.float() < slowClients {
+		cut = int(g.float() * float64(len(text)))
+	}
+	_, err := io.WriteString(c.c, text[:cut])
+	if err == nil && cut < len(text) {
+		time.Sleep(time.Duration(g.float() * float64(500*time.Millisecond)))
+		_, err = io.WriteString(c.c, text[cut:])
+	}
+	a.Sent = time.Now()
+	if err != nil {
+		a.Why, a.Done = err.Error(), time.Now()
+		_ = c.c.Close()
+		return a
+	}
+	_ = c.c.SetReadDeadline(a.Sent.Add(patience + answerLate + waitsLonger))
+	if g.float() < leaves {
+		leave := time.Duration(g.float() * float64(patience))
+		var at time.Time
+		left := make(chan struct{})
+		timer := time.AfterFunc(leave, func() { at = time.Now(); _ = c.c.Close(); close(left) })
+		defer func() {
+			if !timer.Stop() {
+				<-left
+				a.Left = at
+			}
+		}()
+	}
+	if g.read(c, &a) {
+		g.keep(c)
+	} else {
+		_ = c.c.Close()
+	}
+	return a
+}
+
+// streamSilence is for how long a client waits for a further event.
+const streamSilence = 8 * time.Second
+
+// read reads an answer, and tells whether its connection can be kept.
+func (g *group) read(c *clientConn, a *Asked) (keep bool) {
+	resp, err := http.ReadResponse(c.br, nil)
+	a.First, a.Done = time.Now(), time.Now()
+	if err != nil {
+		a.Why = err.Error()
+		return false
+	}
+	a.Status = resp.StatusCode
+	c.served++
+	if a.Status != http.StatusOK {
+		_, err = io.Copy(io.Discard, resp.Body)
+		a.Done, a.Whole = time.Now(), err == nil
+		return err == nil && !resp.Close
+	}
+	lines := bufio.NewReader(resp.Body)
+	for done := false; ; {
+		_ = c.c.SetReadDeadline(time.Now().Add(streamSilence))
+		line, err := lines.ReadString('\n')
+		a.Done = time.Now()
+		if err != nil {
+			a.Whole = done && err == io.EOF
+			if a.Why = err.Error(); err == io.EOF && !done {
+				a.Foreign = "it was ended as whole before its last event"
+			}
+			return a.Whole && !resp.Close
+		}
+		done = done || strings.Contains(line, "[DONE]")
+		a.event(strings.TrimSpace(strings.TrimPrefix(line, "data: ")))
+	}
+}
+
+// event checks one event of a stream.
+func (a *Asked) event(text string) {
+	var e struct {
+		Choices []struct {
+			Delta struct{ Content string }
+		}
+	}
+	if text == "" || jsoniter.UnmarshalFromString(text, &e) != nil || len(e.Choices) == 0 || e.Choices[0].Delta.Content == "" {
+		return
+	}
+	t, err := parseToken(e.Choices[0].Delta.Content)
+	if err != nil || t.id != a.ID || t.n != a.Tokens {
+		a.Foreign = fmt.Sprintf("%q as piece %d", e.Choices[0].Delta.Content, a.Tokens)
+	}
+	a.Tokens++
+	a.Late = max(a.Late, time.Since(t.at))
+}
+
+// crowd keeps so many connections to a dispatcher that never say anything.
+func (g *group) crowd(size int, until <-chan time.Time) {
+	defer g.all.open.Done()
+	var idle []net.Conn
+	for range size {
+		if c, err := net.DialTimeout("tcp", g.d.listen, time.Second); err == nil {
+			idle = append(idle, c)
+		}
+	}
+	select {
+	case <-until:
+	case <-g.all.stop:
+	}
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+// badMost is how long a client that stops in the middle of a request may wait for an error or the end.
+const badMost = 3 * time.Second
+
+// stay sends a part of a request and waits. It tells how long it had to, or that nothing came.
+func (g *group) stay(text string) (time.Duration, error) {
+	c, err := net.DialTimeout("tcp", g.d.listen, time.Second)
+	if err != nil {
+		return 0, nil // it is down
+	}
+	defer c.Close()
+	began := time.Now()
+	_, _ = io.WriteString(c, text) // an end of the connection shows below
+	_ = c.SetReadDeadline(began.Add(badMost + time.Second))
+	_, err = c.Read(make([]byte, 1))
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() {
+		return 0, errors.New("neither an error nor the end came")
+	}
+	return time.Since(began), nil
+}
+
+// isReady asks a dispatcher whether it takes requests.
+func isReady(addr string) bool {
+	c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(200 * time.Millisecond))
+	_, _ = io.WriteString(c, "GET /-/ready HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/soak/dispatcher.go
@@ -0,0 +1,203 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"standpulley/internal/standin"
+)
+
+// Life is one process of a dispatcher, from its start to its end.
+type Life struct {
+	Started time.Time
+	Ready   time.Time // zero: never
+	Told    time.Time // when the first SIGTERM was sent; zero: never
+	Killed  time.Time // when SIGKILL was sent; zero: never
+	Gone    time.Time // when the process had ended
+	Code    int       // its exit code; -1 after a signal
+	Held    []Span    // when it was stopped
+}
+
+// Span is a time between two moments; a zero end has not come.
+type Span struct{ From, To time.Time }
+
+// dispatcher is one node with its files and its agent of discovery.
+type dispatcher struct {
+	name   string
+	listen string
+	file   string // its configuration
+	log    string
+	agent  *standin.Agent
+
+	files sync.Mutex // held while the configuration is not whole
+
+	mu    sync.Mutex // for all below
+	cmd   *exec.Cmd
+	lives []*Life
+	out   bool // SIGTERM was sent, or it is down: the front sends it no new connections
+}
+
+// program is how dispatchers are started.
+type program struct {
+	path string
+	env  []string
+}
+
+func (d *dispatcher) life() *Life { return d.lives[len(d.lives)-1] }
+
+// start starts the process and has it watched.
+func (d *dispatcher) start(p program) error {
+	log, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close() // the process has its own
+	cmd := exec.Command(p.path)
+	cmd.Env = append(append(os.Environ(), p.env...), "EDGE_CONFIG="+d.file)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	life := &Life{Started: time.Now()}
+	d.mu.Lock()
+	d.cmd, d.lives = cmd, append(d.lives, life)
+	d.mu.Unlock()
+	go func() {
+		_ = cmd.Wait() // how it ended is told below
+		d.mu.Lock()
+		life.Gone, life.Code, d.out = time.Now(), cmd.ProcessState.ExitCode(), true
+		d.mu.Unlock()
+	}()
+	go d.awaitReady(life)
+	return nil
+}
+
+// awaitReady has the front take the dispatcher in once it says that it is ready.
+func (d *dispatcher) awaitReady(life *Life) {
+	for {
+		ready := isReady(d.listen)
+		d.mu.Lock()
+		ended := !life.Gone.IsZero() || !life.Told.IsZero() || !life.Killed.IsZero()
+		if ready && !ended {
+			life.Ready, d.out = time.Now(), false
+		}
+		d.mu.Unlock()
+		if ready || ended {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// signal sends a signal to the process that runs, if one does.
+func (d *dispatcher) signal(sig syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.lives) == 0 || !d.life().Gone.IsZero() {
+		return
+	}
+	life := d.life()
+	switch sig {
+	case syscall.SIGTERM:
+		if life.Told.IsZero() {
+			life.Told = time.Now()
+			time.AfterFunc(frontLate, func() { d.mu.Lock(); d.out = d.out || d.life() == life; d.mu.Unlock() })
+		}
+	case syscall.SIGKILL:
+		life.Killed, d.out = time.Now(), true
+	case syscall.SIGSTOP:
+		life.Held = append(life.Held, Span{From: time.Now()})
+	case syscall.SIGCONT:
+		if n := len(life.Held); n > 0 {
+			life.Held[n-1].To = time.Now()
+		}
+	}
+	_ = d.cmd.Process.Signal(sig) // it may end this moment
+}
+
+// frontLate is for how long after SIGTERM new connections keep coming.
+const frontLate = 300 * time.Millisecond
+
+// killAfter is how long after SIGTERM SIGKILL comes at the earliest: the longest deadline, counted as 3 s at most, and 0.7 s.
+func killAfter(longest time.Duration) time.Duration {
+	return min(longest, 3*time.Second) + 700*time.Millisecond
+}
+
+// told is when SIGTERM was sent to a process.
+func (d *dispatcher) told(life *Life) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return life.Told
+}
+
+func (d *dispatcher) running() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.lives) > 0 && d.life().Gone.IsZero()
+}
+
+// takesNew tells whether the front sends it new connections.
+func (d *dispatcher) takesNew() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.lives) > 0 && !d.out && !d.life().Ready.IsZero()
+}
+
+// class is one class of requests.
+type class struct {
+	Name     string
+	Repeat   string
+	Deadline time.Duration
+}
+
+// settings are those of a fleet.
+func settings(dispatchers int, classes []class) map[string]any {
+	var services []any
+	for _, c := range classes {
+		services = append(services, map[string]any{"name": c.Name, "repeat": c.Repeat, "goal_time_us": c.Deadline.Microseconds() / 3,
+			"deadline_us": c.Deadline.Microseconds(), "credit": 2, "late_worth": 0.3, "key_scope": "all", "window_us": 2000000, "stream": true})
+	}
+	return map[string]any{
+		"siblings": dispatchers, "zone": "z", "zones": []string{"z"}, "host_types": []string{"reader", "writer"},
+		"family_info": map[string]any{"duty_by_kind": []string{"read", "write"}, "kv_tokens": []int{1000000, 1000000}, "let_go_by_us": letGoBy.Microseconds()},
+		"limits": map[string]any{"try_limit": 6, "cancel": true, "retry_after": true, "max_retry_after_us": 2000000, "connect_timeout_us": 250000,
+			"conn_idle_us": 30000000, "may_duplicate": true},
+		"obligations": map[string]any{"cold_from": 0.3, "ramp_time_us": 10000000, "fall_multiple": 2.5, "fall_us": 3000000, "drain_grace_us": drainGrace.Microseconds()},
+		"services":    services,
+	}
+}
+
+const (
+	letGoBy    = 500 * time.Millisecond
+	drainGrace = time.Second
+)
+
+// configure writes the file of a dispatcher.
+func (d *dispatcher) configure(set map[string]any, sockets int) error {
+	text, err := jsoniter.Marshal(map[string]any{"name": d.name, "seed": "1", "listen": d.listen, "discovery": d.agent.Addr, "settings": set,
+		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": sockets}})
+	if err != nil {
+		return err
+	}
+	next := d.file + ".next" // so that no SIGHUP finds half of it
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, d.file)
+}
+
+func newDispatcher(folder string, n int, listen string, list []standin.Entry) (*dispatcher, error) {
+	agent, err := standin.StartAgent("127.0.0.1:0", list...)
+	if err != nil {
+		return nil, err
+	}
+	name := fmt.Sprintf("n%d", n)
+	return &dispatcher{name: name, listen: listen, agent: agent, file: filepath.Join(folder, name+".json"), log: filepath.Join(folder, name+".log")}, nil
+}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -32,6 +33,7 @@
 	cond  *sync.Cond
 	mode  NewConnections
 	open  map[*carried]bool
+	heard func(id string)
 	fill  []net.Conn // they take the places of connections that may wait
 	ended bool
 }
@@ -40,6 +42,7 @@
 type carried struct {
 	near, far net.Conn // far is nil where it never led anywhere
 	silent    bool     // guarded by the link
+	id        string   // of the last attempt that was sent on it; the goroutine that carries there has it
 }
 
 // NewLink listens at addr, which leads to the server at to.
@@ -54,6 +57,13 @@
 	return l, nil
 }
 
+// Unheard has the link tell of each attempt that its dispatcher ends on a connection that is silent, as its server hears nothing of that.
+func (l *Link) Unheard(tell func(id string)) {
+	l.mu.Lock()
+	l.heard = tell
+	l.mu.Unlock()
+}
+
 // Silence has all open connections fall silent in both directions. They stay open, and no error shows.
 func (l *Link) Silence() {
 	l.mu.Lock()
@@ -169,7 +179,8 @@
 		c.reset()
 		return
 	case Silent:
-		_, _ = io.Copy(io.Discard, c.near) // its end is the point
+		done := make(chan bool, 1)
+		l.pump(c, c.near, nil, done) // its end is the point
 		return
 	}
 	far, err := net.DialTimeout("tcp", l.to, time.Second)
@@ -201,6 +212,9 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
+		if n > 0 && from == c.near {
+			c.id = attemptID(buf[:n], c.id)
+		}
 		if n > 0 && !l.isSilent(c) {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
@@ -209,6 +223,9 @@
 		if err == nil {
 			continue
 		}
+		if l.isSilent(c) && from == c.near && c.id != "" {
+			l.tellUnheard(c.id)
+		}
 		if err == io.EOF && !l.isSilent(c) {
 			if t, ok := to.(*net.TCPConn); ok {
 				_ = t.CloseWrite() // a half close passes on
@@ -218,6 +235,28 @@
 	}
 }
 
+func (l *Link) tellUnheard(id string) {
+	l.mu.Lock()
+	tell := l.heard
+	l.mu.Unlock()
+	if tell != nil {
+		tell(id)
+	}
+}
+
+// attemptID gives the id of the attempt that begins in a text; one in which none does goes on with the last.
+func attemptID(text []byte, last string) string {
+	const header = "X-Trace-Id: "
+	if bytes.HasPrefix(text, []byte("DELETE ")) {
+		return ""
+	}
+	if _, rest, ok := bytes.Cut(text, []byte(header)); ok {
+		id, _, _ := bytes.Cut(rest, []byte("\r\n"))
+		return string(id)
+	}
+	return last
+}
+
 func (c *carried) reset() {
 	for _, side := range []net.Conn{c.near, c.far} {
 		if t, ok := side.(*net.TCPConn); ok {
--- /dev/null
+++ b/internal/soak/replica.go
@@ -0,0 +1,243 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"standpulley/internal/standin"
+)
+
+// ReplicaEnv holds the ReplicaConfig of a process that is to be a replica.
+const ReplicaEnv = "STANDPULLEY_SOAK_REPLICA"
+
+// ReplicaConfig is what a replica process is told.
+type ReplicaConfig struct {
+	Name     string
+	Reader   bool // else a writer
+	Listen   string
+	Registry string // where it reports
+	Seed     uint64
+}
+
+// NoteKind says what a replica reports.
+type NoteKind string
+
+// What a replica reports.
+const (
+	Taken    NoteKind = "taken"    // the last byte of a call has come
+	ReadDone NoteKind = "read"     // a prompt was read, its state waits
+	Fetch    NoteKind = "fetch"    // a writer asks for the state; the registry answers
+	Ran      NoteKind = "ran"      // a writer began to answer
+	Ended    NoteKind = "ended"    // an attempt is over, whoever ended it
+	Finished NoteKind = "finished" // a writer's stream was written whole
+	Released NoteKind = "released" // a call to let go of what is held has come
+	GaveUp   NoteKind = "gave up"  // by a link: a dispatcher has ended an attempt on a connection that is silent
+)
+
+// Note is one report of a replica.
+type Note struct {
+	At      time.Time
+	Replica string
+	Kind    NoteKind
+	ID      string
+}
+
+// Conduct is how a replica treats calls from now on.
+type Conduct struct {
+	Error, Full, Break, BreakStream, Hang float64 // shares of calls
+	Slow                                  float64 // multiplies its times; 0 counts as 1
+}
+
+// fetched is the registry's reply to a Fetch.
+type fetched struct {
+	Held    *bool    `json:",omitempty"`
+	Conduct *Conduct `json:",omitempty"`
+}
+
+// replica is the process.
+type replica struct {
+	cfg     ReplicaConfig
+	mu      sync.Mutex // for all below
+	conn    net.Conn
+	conduct Conduct
+	draw    *rand.Rand
+	asking  sync.Mutex // held by who waits for a reply
+	replies chan bool
+}
+
+// RunReplica is the process of a replica. It returns when its registry has gone.
+func RunReplica(text string) error {
+	r := &replica{replies: make(chan bool, 1)}
+	if err := jsoniter.UnmarshalFromString(text, &r.cfg); err != nil {
+		return fmt.Errorf("%s: %w", ReplicaEnv, err)
+	}
+	r.draw = rand.New(rand.NewPCG(r.cfg.Seed, uint64(os.Getpid())))
+	conn, err := net.Dial("tcp", r.cfg.Registry)
+	if err != nil {
+		return err
+	}
+	r.conn = conn
+	act := r.write
+	if r.cfg.Reader {
+		act = r.read
+	}
+	if _, err := standin.StartSeen(r.cfg.Listen, r.seen, act); err != nil {
+		return err
+	}
+	r.note(Taken, "") // it is up
+	return r.obey()
+}
+
+// obey takes replies and conducts from the registry.
+func (r *replica) obey() error {
+	for lines := bufio.NewScanner(r.conn); lines.Scan(); {
+		var m fetched
+		if err := jsoniter.Unmarshal(lines.Bytes(), &m); err != nil {
+			return err
+		}
+		if m.Held != nil {
+			r.replies <- *m.Held
+		}
+		if m.Conduct != nil {
+			r.mu.Lock()
+			r.conduct = *m.Conduct
+			r.mu.Unlock()
+		}
+	}
+	return nil
+}
+
+func (r *replica) note(kind NoteKind, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	text, err := jsoniter.Marshal(Note{At: time.Now(), Replica: r.cfg.Name, Kind: kind, ID: id})
+	if err == nil {
+		_, err = r.conn.Write(append(text, '\n'))
+	}
+	if err != nil {
+		os.Exit(1) // without its registry nothing that it does counts
+	}
+}
+
+// fetch asks whether the state of a request is there, and takes it.
+func (r *replica) fetch(id string) bool {
+	r.asking.Lock()
+	defer r.asking.Unlock()
+	r.note(Fetch, id)
+	return <-r.replies
+}
+
+func (r *replica) seen(c standin.Call) {
+	switch c.Method {
+	case "DELETE":
+		r.note(Released, c.Path[len("/bootstrap/rooms/"):])
+	case "POST":
+		r.note(Taken, c.ID)
+	}
+}
+
+// misbehave plays what the conduct asks for instead of an answer, and tells whether it did.
+func (r *replica) misbehave(x *standin.Exchange) bool {
+	r.mu.Lock()
+	c, p := r.conduct, r.draw.Float64()
+	r.mu.Unlock()
+	for _, way := range []struct {
+		share float64
+		play  func()
+	}{
+		{c.Error, func() { x.Status(500, false, "spoilt") }},
+		{c.Full, func() { x.Status(503, true, "full") }},
+		{c.Break, x.Break},
+		{c.Hang, x.Gone},
+	} {
+		if p -= way.share; p < 0 {
+			way.play()
+			return true
+		}
+	}
+	return false
+}
+
+// span draws a time.
+func (r *replica) span(least, most time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wait := least + time.Duration(r.draw.Int64N(int64(most-least)))
+	if r.conduct.Slow > 0 {
+		wait = time.Duration(float64(wait) * r.conduct.Slow)
+	}
+	return wait
+}
+
+func (r *replica) read(x *standin.Exchange) {
+	defer r.note(Ended, x.ID)
+	if r.misbehave(x) || x.Await(r.span(readLeast, readMost)) {
+		return
+	}
+	r.note(ReadDone, x.ID)
+	x.Read(0)
+}
+
+const (
+	readLeast, readMost   = 10 * time.Millisecond, 150 * time.Millisecond
+	queueLeast, queueMost = time.Millisecond, 400 * time.Millisecond
+	tokenLeast, tokenMost = 5 * time.Millisecond, 40 * time.Millisecond
+	tokensMost            = 40
+)
+
+func (r *replica) write(x *standin.Exchange) {
+	defer r.note(Ended, x.ID)
+	if r.misbehave(x) {
+		return
+	}
+	if !r.fetch(x.ID) {
+		x.Status(410, true, "nothing is held")
+		return
+	}
+	if x.Await(r.span(queueLeast, queueMost)) {
+		return
+	}
+	r.note(Ran, x.ID)
+	r.mu.Lock()
+	tokens, breaks := 2+r.draw.IntN(tokensMost), r.draw.Float64() < r.conduct.BreakStream
+	r.mu.Unlock()
+	x.Head()
+	for n := range tokens {
+		if breaks && n == tokens/2 {
+			x.Break()
+			return
+		}
+		x.Token(token{x.ID, n, time.Now()}.String())
+		if x.Broken() || x.Await(r.span(tokenLeast, tokenMost)) {
+			return
+		}
+	}
+	if x.End(); !x.Broken() {
+		r.note(Finished, x.ID)
+	}
+}
+
+// token is a piece of an answer, which tells whose it is, its place and when it was written.
+type token struct {
+	id string
+	n  int
+	at time.Time
+}
+
+func (t token) String() string { return fmt.Sprintf("%s %d %d;", t.id, t.n, t.at.UnixNano()) }
+
+// parseToken reads what String writes.
+func parseToken(text string) (t token, err error) {
+	var at int64
+	if _, err = fmt.Sscanf(text, "%s %d %d;", &t.id, &t.n, &at); err == nil {
+		t.at = time.Unix(0, at)
+	}
+	return t, err
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,283 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"standpulley/internal/standin"
+)
+
+// Program is what a run starts: the dispatcher's program, and one that calls RunReplica where ReplicaEnv is set.
+type Program struct {
+	Dispatcher, Replica       string
+	DispatcherEnv, ReplicaEnv []string
+}
+
+// Record is all that was seen of a run.
+type Record struct {
+	Scenario  Scenario
+	Began     time.Time
+	Asked     []Asked
+	Notes     []Note
+	Lives     map[string][]*Life // by dispatcher
+	Logs      map[string]string  // likewise, whole
+	Disturbed map[string][]Span  // by replica: when it, or the way to it, was faulty
+	Drains    []Drain
+	Bad       []string        // what clients that stop in the middle of a request found wrong
+	Crowds    map[string]bool // dispatchers that had a crowd
+	Stall     time.Duration   // the longest that this process itself was held up
+}
+
+// Drain is a replica that discovery told of as draining.
+type Drain struct {
+	Replica string
+	Told    time.Time // it counts as told by then at all dispatchers
+}
+
+// node is one replica with its link.
+type node struct {
+	cfg  ReplicaConfig
+	link *Link
+	cmd  *exec.Cmd
+	stop int // faults that stop it now
+}
+
+// run is a run under way.
+type run struct {
+	s       Scenario
+	p       Program
+	folder  string
+	reg     *registry
+	nodes   []*node
+	fleet   []*dispatcher
+	groups  []*group
+	clients *clients
+	entries []standin.Entry
+	host    string
+	port    int // of the address that was given last
+
+	mu      sync.Mutex // for all below
+	rec     Record
+	classes []class
+	busy    sync.WaitGroup // faults that are not over
+}
+
+// Run plays a scenario in a folder and records it. Files stay there.
+func Run(ctx context.Context, s Scenario, p Program, folder string) (Record, error) {
+	r := &run{s: s, p: p, folder: folder, classes: s.Classes}
+	r.rec = Record{Scenario: s, Lives: map[string][]*Life{}, Logs: map[string]string{}, Disturbed: map[string][]Span{}, Crowds: map[string]bool{}}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return r.rec, err
+	}
+	stalled := make(chan time.Duration)
+	metered := make(chan struct{})
+	go meter(metered, stalled)
+	r.rec.Began = time.Now()
+	for _, f := range s.Faults {
+		select {
+		case <-ctx.Done():
+			return r.rec, ctx.Err()
+		case <-time.After(time.Until(r.rec.Began.Add(f.At))):
+		}
+		r.busy.Add(1)
+		go func() { defer r.busy.Done(); r.play(f) }()
+	}
+	time.Sleep(time.Until(r.rec.Began.Add(s.Length)))
+	r.busy.Wait()
+	close(r.clients.stop)
+	r.clients.open.Wait()
+	time.Sleep(letGoBy + heldSlack + 500*time.Millisecond) // for what is still held
+	r.endAll()
+	close(metered)
+	r.rec.Stall = <-stalled
+	r.rec.Notes = r.reg.close()
+	r.rec.Asked = r.clients.asked
+	for _, d := range r.fleet {
+		text, err := os.ReadFile(d.log)
+		if err != nil {
+			return r.rec, err
+		}
+		r.rec.Lives[d.name], r.rec.Logs[d.name] = d.lives, string(text)
+	}
+	return r.rec, nil
+}
+
+// meter finds the longest time for which this process was held up.
+func meter(stop <-chan struct{}, to chan<- time.Duration) {
+	const step = 5 * time.Millisecond
+	worst := time.Duration(0)
+	for {
+		at := time.Now()
+		select {
+		case <-stop:
+			to <- worst
+			return
+		case <-time.After(step):
+			worst = max(worst, time.Since(at)-step)
+		}
+	}
+}
+
+// host draws a loopback address that is this run's alone, so that its ports are free.
+func host() (string, error) {
+	const tries, port = 100, 10000
+	for range tries {
+		addr := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", addr, port-1))
+		if err == nil {
+			_ = ln.Close()
+			return addr, nil
+		}
+	}
+	return "", fmt.Errorf("no loopback address is free after %d tries", tries)
+}
+
+// addr gives the run's next address.
+func (r *run) addr() string {
+	r.port++
+	return fmt.Sprintf("%s:%d", r.host, r.port)
+}
+
+const firstPort = 10000
+
+func (r *run) start() (err error) {
+	if r.host, err = host(); err != nil {
+		return err
+	}
+	r.port = firstPort
+	if r.reg, err = newRegistry(); err != nil {
+		return err
+	}
+	for i := range r.s.Readers + r.s.Writers {
+		n := &node{cfg: ReplicaConfig{Name: fmt.Sprintf("w%d", i), Reader: i < r.s.Readers, Registry: r.reg.ln.Addr().String(), Seed: r.s.Seed + uint64(i)}}
+		kind := "writer"
+		if n.cfg.Reader {
+			kind, n.cfg.Name = "reader", fmt.Sprintf("r%d", i)
+		}
+		n.cfg.Listen = r.addr()
+		if n.link, err = NewLink(r.addr(), n.cfg.Listen); err != nil {
+			return err
+		}
+		n.link.Unheard(func(id string) { r.reg.take(Note{At: time.Now(), Replica: n.cfg.Name, Kind: GaveUp, ID: id}, nil) })
+		if err := r.startReplica(n); err != nil {
+			return err
+		}
+		r.nodes = append(r.nodes, n)
+		r.entries = append(r.entries, standin.Entry{ID: n.cfg.Name, Addr: n.link.Addr, Zone: "z", Kind: kind, State: "in_service", Weight: 1})
+	}
+	if err := within(5*time.Second, func() bool { return r.reg.up() == len(r.nodes) }); err != nil {
+		return fmt.Errorf("replicas: %w", err)
+	}
+	r.clients = &clients{stop: make(chan struct{}), classes: func() []class { r.mu.Lock(); defer r.mu.Unlock(); return r.classes }}
+	for i := range r.s.Dispatchers {
+		d, err := newDispatcher(r.folder, i, r.addr(), r.entries)
+		if err != nil {
+			return err
+		}
+		r.fleet = append(r.fleet, d)
+		if err := d.configure(settings(r.s.Dispatchers, r.s.Classes), r.s.Sockets); err != nil {
+			return err
+		}
+		if err := d.start(r.program()); err != nil {
+			return err
+		}
+		r.groups = append(r.groups, &group{all: r.clients, d: d, draw: rand.New(rand.NewPCG(r.s.Seed, uint64(i)))})
+	}
+	if err := within(10*time.Second, func() bool {
+		for _, d := range r.fleet {
+			if !d.takesNew() {
+				return false
+			}
+		}
+		return true
+	}); err != nil {
+		return fmt.Errorf("dispatchers: %w", err)
+	}
+	for _, g := range r.groups {
+		r.clients.open.Add(1)
+		go g.come(r.s.Rate)
+	}
+	return nil
+}
+
+func within(limit time.Duration, cond func() bool) error {
+	for end := time.Now().Add(limit); !cond(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("not up within %v", limit)
+		}
+	}
+	return nil
+}
+
+func (r *run) program() program { return program{r.p.Dispatcher, r.p.DispatcherEnv} }
+
+func (r *run) startReplica(n *node) error {
+	text, err := jsoniter.MarshalToString(n.cfg)
+	if err != nil {
+		return err
+	}
+	n.cmd = exec.Command(r.p.Replica)
+	n.cmd.Env = append(append(os.Environ(), r.p.ReplicaEnv...), ReplicaEnv+"="+text)
+	log, err := os.OpenFile(filepath.Join(r.folder, n.cfg.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close() // the process has its own
+	n.cmd.Stdout, n.cmd.Stderr = log, log
+	return n.cmd.Start()
+}
+
+// endAll ends the dispatchers, as at a planned restart.
+func (r *run) endAll() {
+	var ended sync.WaitGroup
+	for _, d := range r.fleet {
+		ended.Go(func() { r.terminate(d, []syscall.Signal{syscall.SIGTERM}, 0) })
+	}
+	ended.Wait()
+}
+
+func (r *run) close() {
+	for _, d := range r.fleet {
+		d.signal(syscall.SIGKILL)
+		d.agent.Close()
+	}
+	for _, n := range r.nodes {
+		if n.cmd != nil && n.cmd.Process != nil {
+			_ = n.cmd.Process.Kill()
+			_ = n.cmd.Wait()
+		}
+		n.link.Close()
+	}
+	if r.reg != nil {
+		_ = r.reg.close()
+	}
+}
+
+// Files gives the folder for a seed below another.
+func Files(below string, seed uint64) string {
+	return filepath.Join(below, strconv.FormatUint(seed, 10))
+}
+
+// Story gives the faults of a scenario, a line each.
+func (s Scenario) Story() string {
+	var all strings.Builder
+	fmt.Fprintf(&all, "seed %d: %d dispatchers, %d readers, %d writers, %.0f requests a second each, %d sockets, classes %v\n", s.Seed, s.Dispatchers,
+		s.Readers, s.Writers, s.Rate, s.Sockets, s.Classes)
+	for _, f := range s.Faults {
+		fmt.Fprintln(&all, f)
+	}
+	return all.String()
+}
--- /dev/null
+++ b/internal/soak/scenario.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Scenario is one run, drawn from a seed.
+type Scenario struct {
+	Seed        uint64
+	Dispatchers int
+	Readers     int
+	Writers     int
+	Rate        float64 // requests a second at each dispatcher
+	Sockets     int     // a dispatcher's limit
+	Classes     []class
+	Length      time.Duration
+	Faults      []fault // in their order
+}
+
+// fault is one thing that goes wrong at a time.
+type fault struct {
+	At     time.Duration
+	Kind   faultKind
+	Target int // of the dispatchers or replicas, by kind
+	Span   time.Duration
+	Size   float64
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%.3f %s %d for %.3f, %.2f", f.At.Seconds(), f.Kind, f.Target, f.Span.Seconds(), f.Size)
+}
+
+// faultKind names a fault.
+type faultKind string
+
+// The faults. Those of links concern the connections of all dispatchers to a replica.
+const (
+	linkSilent  faultKind = "open connections fall silent"
+	linkCut     faultKind = "cut off"
+	linkPending faultKind = "new connections do not come up"
+	linkReset   faultKind = "connections are reset"
+	roleSilent  faultKind = "open connections to most replicas of a role fall silent"
+	hang        faultKind = "stopped"
+	die         faultKind = "killed and started again"
+	misbehave   faultKind = "answers badly"
+	terminate   faultKind = "SIGTERM, with signals in series"
+	kill        faultKind = "SIGKILL"
+	heldUpFault faultKind = "held up"
+	reload      faultKind = "SIGHUP in a row"
+	mute        faultKind = "discovery is silent"
+	overload    faultKind = "discovery turns calls away"
+	drain       faultKind = "drains"
+	crowd       faultKind = "crowd of idle clients"
+	halfSent    faultKind = "clients stop in the middle of a request"
+)
+
+var faultKinds = []faultKind{linkSilent, linkSilent, linkSilent, linkCut, linkCut, linkPending, linkReset, roleSilent, roleSilent, hang, hang, die,
+	misbehave, misbehave, terminate, terminate, terminate, kill, heldUpFault, reload, mute, overload, drain, crowd, halfSent}
+
+// Draw gives the scenario of a seed. Size scales the number of processes, 1 being from 10 to 40.
+func Draw(seed uint64, size float64, length time.Duration) Scenario {
+	draw := rand.New(rand.NewPCG(seed, 0x5eed))
+	between := func(least, most int) int { return least + draw.IntN(most-least+1) }
+	scaled := func(n int) int { return max(int(size*float64(n)+0.5), 1) }
+	s := Scenario{Seed: seed, Dispatchers: scaled(between(2, 8)), Readers: scaled(between(4, 16)), Writers: max(scaled(between(4, 16)), 2),
+		Rate: float64(between(10, 50)), Sockets: []int{200, 400, 1024}[draw.IntN(3)], Length: length}
+	deadlines := []time.Duration{800 * time.Millisecond, 2 * time.Second, 4 * time.Second, 6 * time.Second}
+	for _, c := range [][2]string{{"enquiry", "idempotent"}, {"instruction", "at_most_once"}, {"change", "deduplicated"}} {
+		s.Classes = append(s.Classes, class{c[0], c[1], deadlines[draw.IntN(len(deadlines))]})
+	}
+	const quiet = 1500 * time.Millisecond // at the start and, for what has no span, at the end
+	at := quiet
+	for at < length-quiet {
+		f := fault{At: at, Kind: faultKinds[draw.IntN(len(faultKinds))], Target: draw.IntN(1 << 16), Size: draw.Float64(),
+			Span: time.Duration((0.2 + 2.8*draw.Float64()) * float64(time.Second))}
+		s.Faults = append(s.Faults, f)
+		at += time.Duration(draw.Float64() * float64(800*time.Millisecond)) // spans are longer: faults overlap
+	}
+	return s
+}
+
+// longest is the longest deadline of the classes.
+func (s Scenario) longest() (d time.Duration) {
+	for _, c := range s.Classes {
+		d = max(d, c.Deadline)
+	}
+	return d
+}
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -4,10 +4,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -22,6 +24,7 @@
 type Replica struct {
 	Addr string
 
+	seen  func(Call) // told of each call before it is played; may be nil
 	act   func(*Exchange)
 	ln    net.Listener
 	mu    sync.Mutex
@@ -30,12 +33,15 @@
 }
 
 // Start listens at addr ("127.0.0.1:0" picks a port) and plays each request by act.
-func Start(addr string, act func(*Exchange)) (*Replica, error) {
+func Start(addr string, act func(*Exchange)) (*Replica, error) { return StartSeen(addr, nil, act) }
+
+// StartSeen is Start, and tells seen of each call before it is played. Calls are not kept then.
+func StartSeen(addr string, seen func(Call), act func(*Exchange)) (*Replica, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{Addr: ln.Addr().String(), act: act, ln: ln, conns: map[net.Conn]bool{}}
+	r := &Replica{Addr: ln.Addr().String(), seen: seen, act: act, ln: ln, conns: map[net.Conn]bool{}}
 	go r.accept()
 	return r, nil
 }
@@ -95,9 +101,13 @@
 		for k, v := range x.Req.Header.All() {
 			call.Header[string(k)] = string(v)
 		}
-		r.mu.Lock()
-		r.calls = append(r.calls, call)
-		r.mu.Unlock()
+		if r.seen != nil {
+			r.seen(call)
+		} else {
+			r.mu.Lock()
+			r.calls = append(r.calls, call)
+			r.mu.Unlock()
+		}
 		if call.Method == fasthttp.MethodDelete {
 			x.Status(fasthttp.StatusNoContent, false, "")
 		} else {
@@ -182,6 +192,20 @@
 	_, _ = x.Conn.Read(b[:]) // any end will do
 }
 
+// Broken tells whether the connection has ended or must.
+func (x *Exchange) Broken() bool { return x.broken }
+
+// Await waits for a time, and tells whether the other side has closed the connection meanwhile. Nothing may come on it until the answer.
+func (x *Exchange) Await(wait time.Duration) (gone bool) {
+	_ = x.Conn.SetReadDeadline(time.Now().Add(wait)) // a failure shows in the read
+	_, err := x.Conn.Read(make([]byte, 1))
+	_ = x.Conn.SetReadDeadline(time.Time{})
+	var late net.Error
+	gone = !errors.As(err, &late) || !late.Timeout()
+	x.broken = x.broken || gone
+	return gone
+}
+
 func (x *Exchange) write(text string) {
 	if _, err := x.Conn.Write([]byte(text)); err != nil {
 		x.broken = true
