--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -88,6 +88,8 @@
 	Release(id string, addrs []string)
 	// ReleaseThen does the same and calls then once, from any goroutine: when a replica has confirmed it, or after a time.
 	ReleaseThen(id string, addrs []string, within time.Duration, then func(confirmed bool))
+	// ReleaseAt asks one replica once, and calls then with whether it has answered, from any goroutine.
+	ReleaseAt(id, addr string, then func(answered bool))
 }
 
 // Prober asks replicas whether they are well.
@@ -128,7 +130,8 @@
 	bounds    Bounds
 	size      int // of the open requests
 	licence   Licence
-	ending    bool // nothing more is taken
+	ending    bool                  // nothing more is taken
+	late      map[string]*lateReads // by the replica's address
 }
 
 // Bounds are those of the table of open requests.
@@ -153,7 +156,7 @@
 	}
 	d := &Dispatcher{Phases: newPhases(), Counts: &Counts{}, set: set, router: router, releaser: releaser,
 		clock: time.Now, inbox: make(chan message, inboxSize), done: make(chan struct{}),
-		requests: map[string]*request{}, servers: map[string]*Server{}, bounds: bounds.under(set)}
+		late: map[string]*lateReads{}, requests: map[string]*request{}, servers: map[string]*Server{}, bounds: bounds.under(set)}
 	d.startedAt = d.clock()
 	d.starts = newStartTimes(wallClock, d.now())
 	d.takeList(known)
--- a/internal/dispatch/held.go
+++ b/internal/dispatch/held.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"standpulley/logic"
@@ -14,11 +15,11 @@
 // A release touches no state for which an attempt waits at the second stage, but what a read in progress will leave is let go with the
 // rest. So nothing is released while a read is out, and a read is sent only when what an earlier one may have left has been released.
 type held struct {
-	addr      string    // of the replica; empty: nothing is held
-	mayAppear time.Time // until then a read that was given up may end on its replica, and leave a state
-	timer     int       // number of the timer in force
-	hold      int       // number of the state, counted on when it is fetched or released
-	releasing bool      // the end of an attempt waits until what it may have left is released
+	addr      string          // of the replica; empty: nothing is held
+	unheard   map[string]bool // replicas at which a read was given up or broke, and may go on
+	timer     int             // number of the timer in force
+	hold      int             // number of the state, counted on when it is fetched or released
+	releasing bool            // the end of an attempt waits until what it may have left is released
 }
 
 const (
@@ -42,9 +43,10 @@
 		d.releaseAfter(at.r, heldPart)
 	case at.role == logic.Reader && !neverRan(out): // it may have ended well just as its connection was closed or broke
 		h.addr = at.addr
-		if at.until.After(h.mayAppear) {
-			h.mayAppear = at.until // its replica was told how long it is waited for
+		if h.unheard == nil {
+			h.unheard = map[string]bool{}
 		}
+		h.unheard[at.addr] = true
 		return true
 	case at.role == logic.Reader || h.addr == "":
 	case res.NoState:
@@ -126,18 +128,63 @@
 // fetching tells whether an attempt at the second stage is out.
 func (r *request) fetching() bool { return len(r.out) > 0 && !r.outAt(logic.Reader) }
 
-// releaseLeftover lets go of what a read may have left, or may leave, whose request is over: at once, a moment later, and then until its
-// replica has no reason to go on with it. The program waits only for the first two.
+// releaseLeftover lets go of what a read may have left whose request is over, at once and a moment later. The program waits for both.
 func (d *Dispatcher) releaseLeftover(r *request) {
 	release := func() { d.release(r.id, r.held.addr, ReadUncertain) }
 	release()
 	d.Phases.begin()
 	d.after(looseAgain, func() { release(); d.Phases.end() })
-	if d.set.ReleaseWithin == 0 {
+	d.awaitLateReads(r)
+}
+
+// awaitLateReads sees to what reads leave that were given up and may end late, as their replica hangs or heard nothing of that. It begins
+// when no further read of the request is sent.
+func (d *Dispatcher) awaitLateReads(r *request) {
+	for addr := range r.held.unheard {
+		l := d.late[addr]
+		if l == nil {
+			l = &lateReads{addr: addr, ids: map[string]time.Time{}}
+			d.late[addr] = l
+			d.after(looseAgain, func() { d.askLate(l) })
+		}
+		l.ids[r.id] = d.clock().Add(lateReadsFor)
+	}
+	r.held.unheard = nil
+}
+
+// lateReadsFor is for how long a replica that does not answer may go on with a read that was given up.
+const lateReadsFor = 5 * time.Second
+
+// lateReads are the reads that were given up at a replica which has not answered since.
+type lateReads struct {
+	addr string
+	ids  map[string]time.Time // requests, with until when they are of interest
+}
+
+// askLate asks the replica for the release of one of the requests. One that answers runs, and has seen all that was sent to it before.
+func (d *Dispatcher) askLate(l *lateReads) {
+	for id := range l.ids {
+		d.countRelease(id, l.addr, ReadUncertain)
+		d.releaser.ReleaseAt(id, l.addr, func(answered bool) { d.post(lateAsked{l, answered}) })
 		return
 	}
-	left := r.held.mayAppear.Sub(d.clock())
-	for wait := looseAgain + d.set.ReleaseWithin; wait < left+d.set.ReleaseWithin; wait += d.set.ReleaseWithin {
-		d.after(wait, release)
+	delete(d.late, l.addr)
+}
+
+// lateAsked comes when a replica has answered, or has not.
+type lateAsked struct {
+	*lateReads
+	answered bool
+}
+
+func (l lateAsked) apply(d *Dispatcher) {
+	if l.answered { // what it took right before that may end a moment later
+		delete(d.late, l.addr)
+		for id := range l.ids {
+			d.after(looseAgain, func() { d.release(id, l.addr, ReadUncertain) })
+		}
+		return
 	}
+	maps.DeleteFunc(l.ids, func(_ string, until time.Time) bool { return !d.clock().Before(until) })
+	d.after(time.Duration(heldPart*float64(d.set.ReleaseWithin)), func() { d.askLate(l.lateReads) })
 }
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -68,6 +68,7 @@
 	}
 	at.stream, at.beganAt = b.stream, d.clock()
 	d.fetched(r)
+	d.awaitLateReads(r)
 	d.route(logic.Event{Kind: logic.StreamStarted, RequestID: r.id, Server: at.server, Attempt: at.n,
 		Took: d.clock().Sub(at.sentAt)})
 	d.answer(r, Answer{Verdict: Served, Stream: b.stream})
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -15,8 +15,9 @@
 	}
 	for i := 0; i < len(d.events); i++ {
 		actions := d.router.Handle(d.now(), &d.events[i], d.actions[:0])
+		holders := d.holdersOf(actions)
 		for _, a := range actions {
-			d.carryOut(a)
+			d.carryOut(a, holders)
 		}
 		d.actions = actions
 	}
@@ -24,18 +25,25 @@
 	d.events = d.events[:0]
 }
 
-// holderOf gives the address at which something may be held for a request that is not forgotten yet.
-func (d *Dispatcher) holderOf(id string) string {
-	if r := d.requests[id]; r != nil {
-		return r.held.addr
+// holdersOf gives the addresses at which something may be held for the requests that are to be released. A request may be forgotten by
+// then, as its final answer comes first.
+func (d *Dispatcher) holdersOf(actions []logic.Action) map[string]string {
+	var holders map[string]string
+	for _, a := range actions {
+		if r := d.requests[a.RequestID]; a.Kind == logic.Release && r != nil && r.held.addr != "" {
+			if holders == nil {
+				holders = map[string]string{}
+			}
+			holders[a.RequestID] = r.held.addr
+		}
 	}
-	return ""
+	return holders
 }
 
 // refusedAfter is the advice to a refused client where the module gives none: without any it would come at once.
 const refusedAfter = 100 * time.Millisecond
 
-func (d *Dispatcher) carryOut(a logic.Action) {
+func (d *Dispatcher) carryOut(a logic.Action, holders map[string]string) {
 	switch a.Kind {
 	case logic.Wake:
 		d.after(a.After, func() { d.route(logic.Event{Kind: logic.TimerFired, Tag: a.Tag}) })
@@ -46,7 +54,7 @@
 		d.probe(a.Server)
 		return
 	case logic.Release:
-		d.release(a.RequestID, d.holderOf(a.RequestID), RequestEnded)
+		d.release(a.RequestID, holders[a.RequestID], RequestEnded)
 		return
 	}
 	r := d.requests[a.RequestID]
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -18,7 +18,6 @@
 	sentAt   time.Time
 	released bool // the state that it was to fetch was let go meanwhile
 	left     leftAt
-	until    time.Time // its replica was told that it is waited for until then
 	out      Attempt
 	stream   Stream // the client's, once it was handed over
 	beganAt  time.Time
@@ -43,7 +42,6 @@
 	if t := d.timeAt(a.Until); a.Until > 0 && t.Before(until) {
 		until = t
 	}
-	at.until = until
 	r.out[at.n] = at
 	leave := d.leave(at, s)
 	d.note(at, Target{Server: s.ID, Addr: s.Addr, Until: until,
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -85,7 +85,7 @@
 // evict closes a connection in favor of another. A request may have begun to come on it, or have come whole by now: then its client is
 // answered. The gate is locked.
 func (g *Gate) evict(c *Conn) {
-	if !c.began && !c.waits() {
+	if c.served && !c.began && !c.waits() {
 		g.closed(Evicted, c.Conn)
 		g.leave(c)
 		return
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -20,7 +20,7 @@
 	ID       string
 	Class    string
 	Who      string // the dispatcher
-	New      bool   // the first on its connection
+	New      bool   // the first on its connection, which was opened for it
 	Sent     time.Time
 	Patience time.Duration
 	Left     time.Time // when the client closed its connection; zero: it did not
@@ -50,6 +50,7 @@
 	c      net.Conn
 	br     *bufio.Reader
 	served int
+	rested bool // it was opened ahead of its first request
 }
 
 // group is the clients of one dispatcher with the connections that they keep.
@@ -80,11 +81,26 @@
 		g.all.open.Add(1)
 		go func() {
 			defer g.all.open.Done()
-			g.ask()
+			if g.float() < opensAhead {
+				g.askLater()
+			} else {
+				g.ask(g.conn)
+			}
 		}()
 	}
 }
 
+// askLater opens a connection and makes its first request after a while, whatever has become of the dispatcher by then.
+func (g *group) askLater() {
+	c, ok := g.dial()
+	if !ok {
+		return
+	}
+	c.rested = true
+	time.Sleep(time.Duration(g.float() * float64(restsMost)))
+	g.ask(func() (*clientConn, bool) { return c, true })
+}
+
 // conn gives a connection that was kept, or a new one where the front sends any.
 func (g *group) conn() (*clientConn, bool) {
 	g.mu.Lock()
@@ -120,18 +136,21 @@
 const (
 	slowClients = 0.05 // part of the clients that pause in the middle of a request
 	leaves      = 0.06 // that leave before the answer
-	repeats     = 2    // tries of a client that is refused
+	opensAhead  = 0.15 // that open a connection some time before their request
+	restsMost   = 3500 * time.Millisecond
+	repeats     = 2 // tries of a client that is refused
 	answerLate  = 500 * time.Millisecond
 	waitsLonger = time.Second // so that an answer that comes too late is seen
 )
 
 // ask makes one request, and repeats it where that is allowed: on a connection that ended between requests, and after a refusal.
-func (g *group) ask() {
+func (g *group) ask(conn func() (*clientConn, bool)) {
 	classes := g.all.classes()
 	class := classes[int(g.float()*float64(len(classes)))]
 	patience := time.Duration((0.4 + 0.6*g.float()) * float64(class.Deadline))
 	for range repeats + 1 {
-		c, ok := g.conn()
+		c, ok := conn()
+		conn = g.conn
 		if !ok {
 			return
 		}
@@ -160,7 +179,7 @@
 
 // try sends one request and reads its answer.
 func (g *group) try(c *clientConn, class class, patience time.Duration) (a Asked) {
-	a = Asked{ID: g.all.id(), Class: class.Name, Who: g.d.name, New: c.served == 0, Patience: patience}
+	a = Asked{ID: g.all.id(), Class: class.Name, Who: g.d.name, New: c.served == 0 && !c.rested, Patience: patience}
 	body := `{"stream":true}`
 	text := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Object: %016x\r\n"+
 		"X-Expires-In: %dm\r\nX-Props: prompt_len=%d,max_out=40\r\nContent-Length: %d\r\n\r\n%s", a.ID, class.Name, int(g.float()*50),
@@ -172,14 +191,9 @@
 	_, err := io.WriteString(c.c, text[:cut])
 	if err == nil && cut < len(text) {
 		time.Sleep(time.Duration(g.float() * float64(500*time.Millisecond)))
-		_, err = io.WriteString(c.c, text[cut:])
-	}
+		_, _ = io.WriteString(c.c, text[cut:])
+	} // where it is ended already, an answer may have come before the end
 	a.Sent = time.Now()
-	if err != nil {
-		a.Why, a.Done = err.Error(), time.Now()
-		_ = c.c.Close()
-		return a
-	}
 	_ = c.c.SetReadDeadline(a.Sent.Add(patience + answerLate + waitsLonger))
 	if g.float() < leaves {
 		leave := time.Duration(g.float() * float64(patience))
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -161,7 +161,7 @@
 func settings(dispatchers int, classes []class) map[string]any {
 	var services []any
 	for _, c := range classes {
-		services = append(services, map[string]any{"name": c.Name, "repeat": c.Repeat, "goal_time_us": c.Deadline.Microseconds() / 3,
+		services = append(services, map[string]any{"name": c.Name, "repeat": c.Repeat, "goal_time_us": c.Deadline.Microseconds() * 4 / 5,
 			"deadline_us": c.Deadline.Microseconds(), "credit": 2, "late_worth": 0.3, "key_scope": "all", "window_us": 2000000, "stream": true})
 	}
 	return map[string]any{
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -189,7 +189,7 @@
 	readLeast, readMost   = 10 * time.Millisecond, 150 * time.Millisecond
 	queueLeast, queueMost = time.Millisecond, 400 * time.Millisecond
 	tokenLeast, tokenMost = 5 * time.Millisecond, 40 * time.Millisecond
-	tokensMost            = 40
+	tokensMost            = 150
 )
 
 func (r *replica) write(x *standin.Exchange) {
