--- a/cmd/standpulley/main_test.go
+++ b/cmd/standpulley/main_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"testing"
 	"time"
 
+	"standpulley/internal/soak"
 	"standpulley/internal/standin"
 )
 
@@ -26,6 +28,12 @@
 		main()
 		return
 	}
+	if text := os.Getenv(soak.ReplicaEnv); text != "" {
+		if err := soak.RunReplica(text); err != nil {
+			log.Fatal(err)
+		}
+		return
+	}
 	os.Exit(m.Run())
 }
 
--- /dev/null
+++ b/cmd/standpulley/soak_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"standpulley/internal/soak"
+)
+
+// A short soak: dispatchers and replicas as processes, faults that overlap, and the rules judged from outside. More seeds are played by
+// hand: bin/proving soak.
+func TestSoak(t *testing.T) {
+	const length, size = 5 * time.Second, 0.4
+	self := soak.Program{Dispatcher: os.Args[0], DispatcherEnv: []string{"STANDPULLEY_AS_PROGRAM=1"}, Replica: os.Args[0]}
+	for seed := uint64(1); seed <= 4; seed++ {
+		scenario := soak.Draw(seed, size, length)
+		rec, err := soak.Run(t.Context(), scenario, self, t.TempDir())
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		findings, figures := soak.Judge(rec)
+		t.Logf("seed %d: %+v", seed, figures)
+		for _, f := range findings {
+			t.Errorf("seed %d: %v", seed, f)
+		}
+		if len(findings) > 0 {
+			t.Logf("%s", scenario.Story())
+		}
+	}
+}
--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -12,24 +13,27 @@
 type call struct {
 	addr, method, path string
 	limit              time.Duration
-	fresh              bool // on a new connection, as an idle one may have fallen silent; if need be beyond the pool's bound
+	urgent             bool // if need be beyond the pool's bound
+	fresh              bool // likewise, and on a new connection, as an idle one may have fallen silent
 }
 
-// make makes a call and gives the status of its answer.
-func (p *Pool) make(q call) (status int, err error) {
+// make makes a call and gives the status of its answer. The end of ctx ends it, and gives its connection's place free.
+func (p *Pool) make(ctx context.Context, q call) (status int, err error) {
 	until := time.Now().Add(q.limit)
-	ctx, cancel := context.WithDeadline(context.Background(), until)
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	var c *conn
-	if q.fresh {
-		c, err = p.dial(ctx, q.addr, freshMost)
-	} else {
+	c, err := (*conn)(nil), errNoRoom
+	if !q.fresh {
 		c, err = p.get(ctx, q.addr, false)
 	}
+	if errors.Is(err, errNoRoom) && q.urgent {
+		c, err = p.dial(ctx, q.addr, freshMost)
+	}
 	if err != nil {
 		return 0, err
 	}
 	_ = c.SetDeadline(until) // a failure shows in the write
+	unhook := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Now().Add(-time.Second)) })
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -44,7 +48,7 @@
 	if err == nil {
 		err = resp.ReadLimitBody(c.br, smallAnswer)
 	}
-	if err != nil || resp.ConnectionClose() {
+	if !unhook() || err != nil || resp.ConnectionClose() {
 		p.drop(c)
 	} else {
 		p.put(c)
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -52,6 +52,8 @@
 	restLeast = 30 * time.Millisecond
 	// Connections beyond the bound for calls that must not wait behind attempts. They come out of what the process keeps free.
 	freshMost   = 8
+	keptFrom    = 32 // a pool of so many connections keeps one in keptPart of them for such calls
+	keptPart    = 8
 	readBuffer  = 8 << 10
 	writeBuffer = 16 << 10
 )
@@ -139,12 +141,16 @@
 	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer), addr: addr}, nil
 }
 
-// reserve takes the place of a connection, if need be that of the idle one that was used the longest ago, or one of so many beyond the
-// bound.
+// reserve takes the place of a connection, if need be that of the idle one that was used the longest ago. A call that may be one of so many
+// beyond the bound finds places also where attempts, which wait for long, have taken what is theirs.
 func (p *Pool) reserve(beyond int) (limit time.Duration, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open < p.most {
+	bound := p.most + beyond
+	if beyond == 0 && p.most >= keptFrom {
+		bound -= p.most / keptPart
+	}
+	if p.open < bound {
 		p.open++
 		return p.dialTimeout, nil
 	}
@@ -154,10 +160,6 @@
 			oldest = all[0]
 		}
 	}
-	if oldest == nil && p.open < p.most+beyond {
-		p.open++
-		return p.dialTimeout, nil
-	}
 	if oldest == nil {
 		return 0, errNoRoom
 	}
--- a/internal/replica/probe.go
+++ b/internal/replica/probe.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -17,7 +18,7 @@
 // Probe asks one replica. Whatever goes wrong with a probe proves nothing of any attempt.
 func (p Prober) Probe(addr string, then func(logic.Outcome)) {
 	go func() {
-		status, err := p.Pool.make(call{addr: addr, method: fasthttp.MethodGet, path: "/-/healthy", limit: probeTime})
+		status, err := p.Pool.make(context.Background(), call{addr: addr, method: fasthttp.MethodGet, path: "/-/healthy", limit: probeTime})
 		switch {
 		case err != nil:
 			then(logic.ConnectFailed)
--- a/internal/replica/release.go
+++ b/internal/replica/release.go
@@ -135,6 +135,7 @@
 					break wait
 				}
 			case <-next:
+				l.told(addr, errSlow) // until it answers
 				break wait
 			case <-r.passed:
 				return false
@@ -174,6 +175,8 @@
 	return append(order, ill...)
 }
 
+var errSlow = errors.New("no answer yet")
+
 // told books whether a replica has answered a call.
 func (l *Releaser) told(addr string, err error) {
 	l.mu.Lock()
@@ -188,7 +191,7 @@
 // ReleaseAt asks one replica once, and calls then with whether it has answered, from any goroutine.
 func (l *Releaser) ReleaseAt(id, addr string, then func(answered bool)) {
 	go func() {
-		err := l.make(addr, id, true)
+		err := l.make(context.Background(), addr, id, true)
 		then(err == nil)
 	}()
 }
@@ -201,12 +204,15 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	return l.make(addr, id, fresh)
+	return l.make(ctx, addr, id, fresh)
 }
 
 // make makes one call.
-func (l *Releaser) make(addr, id string, fresh bool) error {
-	status, err := l.pool.make(call{addr: addr, method: fasthttp.MethodDelete, path: "/bootstrap/rooms/" + id, limit: releaseTry, fresh: fresh})
+func (l *Releaser) make(ctx context.Context, addr, id string, fresh bool) error {
+	status, err := l.pool.make(ctx, call{addr: addr, method: fasthttp.MethodDelete, path: "/bootstrap/rooms/" + id, limit: releaseTry, urgent: true, fresh: fresh})
+	if ctx.Err() != nil {
+		return ctx.Err() // another replica has answered
+	}
 	if err == nil && (status < fasthttp.StatusOK || status >= fasthttp.StatusMultipleChoices) {
 		err = fmt.Errorf("answered %d", status) // it came to somebody, who may have let go of nothing
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -86,17 +86,20 @@
 
 func (r *run) restartReplica(n *node, after time.Duration) {
 	r.mu.Lock()
-	cmd := n.cmd
+	cmd, down := n.cmd, n.down
+	n.down = true
 	r.mu.Unlock()
-	_ = cmd.Process.Kill() // it may have been killed already
+	if down { // by another such fault
+		return
+	}
+	_ = cmd.Process.Kill() // what it did is with the registry
 	_ = cmd.Wait()
 	time.Sleep(after)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if n.cmd == cmd {
-		if err := r.startReplica(n); err != nil {
-			r.rec.Bad = append(r.rec.Bad, fmt.Sprintf("%s can't be started: %v", n.cfg.Name, err))
-		}
+	n.down = false
+	if err := r.startReplica(n); err != nil {
+		r.rec.Bad = append(r.rec.Bad, fmt.Sprintf("%s can't be started: %v", n.cfg.Name, err))
 	}
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -51,7 +51,8 @@
 	cfg  ReplicaConfig
 	link *Link
 	cmd  *exec.Cmd
-	stop int // faults that stop it now
+	stop int  // faults that stop it now
+	down bool // a fault has killed it
 }
 
 // run is a run under way.
