--- a/internal/dispatch/permit_test.go
+++ b/internal/dispatch/permit_test.go
@@ -13,7 +13,7 @@
 // What breaks a rule is found at run time, and what keeps to it is not.
 func TestViolationsAreCounted(t *testing.T) {
 	for _, breaks := range []bool{false, true} {
-		d, _, pass := clocked(t)
+		d, _, _ := clocked(t)
 		k, p := take(d, "late", "safe")
 		at := k.r.out[0]
 		if breaks {
@@ -33,7 +33,7 @@
 			t.Errorf("breaks %v: %d sent after the end", breaks, n)
 		}
 
-		d, _, pass = clocked(t)
+		d, _, pass := clocked(t)
 		rel := &withheld{}
 		d.releaser = rel
 		_, p = take(d, "held", "safe")
