--- a/internal/ci/knownred/main.go
+++ b/internal/ci/knownred/main.go
@@ -3,7 +3,7 @@
 //
 //	knownred KNOWN-RED.txt LOG
 //
-// A line of the file is "package.Test, cause, issue". It exits 0 and prints the known failures, or 1 and prints the others.
+// A line of the file is "package.Test, cause, issue"; a subtest is named with its path. It exits 0 and prints the known failures, or 1 and prints the others.
 package main
 
 import (
@@ -79,11 +79,18 @@
 }
 
 var (
-	failedTest    = regexp.MustCompile(`^--- FAIL: (Test\S+)`)
+	failedTest    = regexp.MustCompile(`^\s*--- FAIL: (Test\S+)`)
 	failedPackage = regexp.MustCompile(`^FAIL\t(\S+)\t[0-9.]+s$`)
 	never         = regexp.MustCompile(`^(panic: |fatal error: |WARNING: DATA RACE|FAIL\t\S+ \[|# \S+)`)
 )
 
+// leaves leaves out tests that failed with one of their subtests: those must be listed by themselves.
+func leaves(tests []string) []string {
+	return slices.DeleteFunc(slices.Clone(tests), func(test string) bool {
+		return slices.ContainsFunc(tests, func(other string) bool { return strings.HasPrefix(other, test+"/") })
+	})
+}
+
 // failures gives the failed tests of a run, each as "package.Test". A package that failed with no failed test is an error.
 func failures(log io.Reader) (failed []string, err error) {
 	var tests []string // of the package whose closing line has not come yet
@@ -102,7 +109,7 @@
 			if len(tests) == 0 {
 				return nil, fmt.Errorf("%s failed, and none of its tests did", m[1])
 			}
-			for _, test := range tests {
+			for _, test := range leaves(tests) {
 				failed = append(failed, m[1]+"."+test)
 			}
 			tests = nil
--- a/internal/ci/knownred/main_test.go
+++ b/internal/ci/knownred/main_test.go
@@ -9,6 +9,11 @@
 
 const oneFailure = "ok  \ta/b\t0.1s\n--- FAIL: TestRed (1.75s)\n    red_test.go:9: wrong\nFAIL\nFAIL\ta/c\t1.760s\nFAIL\n"
 
+// subtest is the log of a run in which one subtest of TestRed failed.
+func subtest(name string) string {
+	return "--- FAIL: TestRed (1.75s)\n    --- FAIL: TestRed/" + name + " (1.7s)\n        red_test.go:9: wrong\nFAIL\nFAIL\ta/c\t1.760s\nFAIL\n"
+}
+
 // Only failures of listed tests pass; what never passes does not pass beside them.
 func TestOnlyListedFailuresPass(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -21,6 +26,9 @@
 		"a build":         {"a/c.TestRed, its cause, 36\n", oneFailure + "FAIL\ta/d [build failed]\n", "never passes"},
 		"a panic":         {"a/c.TestRed, its cause, 36\n", "panic: test timed out after 10m0s\n" + oneFailure, "never passes"},
 		"a race":          {"a/c.TestRed, its cause, 36\n", "WARNING: DATA RACE\n" + oneFailure, "never passes"},
+		"a subtest":       {"a/c.TestRed/one, its cause, 36\n", subtest("one"), ""},
+		"another subtest": {"a/c.TestRed/one, its cause, 36\n", subtest("two"), "a/c.TestRed/two failed and is not listed"},
+		"its parent":      {"a/c.TestRed, its cause, 36\n", subtest("one"), "a/c.TestRed/one failed and is not listed"},
 		"no test":         {"a/c.TestRed, its cause, 36\n", "exit status 2\nFAIL\ta/c\t0.1s\n", "none of its tests"},
 		"nothing":         {"a/c.TestRed, its cause, 36\n", "", "no test of it"},
 		"cut short":       {"a/c.TestRed, its cause, 36\n", "--- FAIL: TestRed (0s)\n", "did not end"},
