Measure how far the core is behind, and what the pool's connections come to

The incident in large fleets could not be read from the program's own logs: nothing told that messages and timers waited for the core's goroutine, nor which step held it up.

--- a/internal/dispatch/counts.go
+++ b/internal/dispatch/counts.go
@@ -32,6 +32,9 @@
 	Listed, LeftAlone int // replicas in the list, and those of them that are avoided now
 	Held              int // requests for which the first stage holds something, or may
 	Causes            map[Event]map[Cause]int
+	Delays            DelayFigures
+	Behind            int // messages and timers that waited for long for the core
+	Waiting           int // messages that wait for it now
 }
 
 // result books how a request of a class ended.
--- /dev/null
+++ b/internal/dispatch/delay_test.go
@@ -0,0 +1,29 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// slowStep holds the core up.
+type slowStep time.Duration
+
+func (s slowStep) apply(*Dispatcher) { time.Sleep(time.Duration(s)) }
+
+// What waits for a core that is held up shows in its figures, message and timer alike.
+func TestDelaysShowACoreThatIsBehind(t *testing.T) {
+	d, _ := core(t, 9)
+	const held = 2 * behindFrom
+	d.after(0, func() {})
+	d.post(slowStep(held))
+	d.post(slowStep(0))
+	drive(d)
+	d.ring()
+	f, behind := d.Delays.Snapshot(time.Now().Add(delayWindow))
+	if f.Message < held || f.Timer < held || f.Step < held || behind != 2 {
+		t.Errorf("got %+v, %d behind", f, behind)
+	}
+	if f, _ := d.Delays.Snapshot(time.Now().Add(3 * delayWindow)); f.Message != 0 {
+		t.Errorf("a window later: %+v", f)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -110,13 +110,14 @@
 type Dispatcher struct {
 	Phases *Phases
 	Counts *Counts
+	Delays *Delays
 	Prober Prober // set before Run; nil: no replica answers probes
 
 	set      logic.Settings
 	router   *logic.Router
 	releaser Releaser
 	clock    Clock
-	inbox    chan message
+	inbox    chan posted
 	done     chan struct{}
 
 	// What follows belongs to Run's goroutine.
@@ -155,8 +156,9 @@
 		return nil, err
 	}
 	d := &Dispatcher{Phases: newPhases(), Counts: &Counts{}, set: set, router: router, releaser: releaser,
-		clock: time.Now, inbox: make(chan message, inboxSize), done: make(chan struct{}),
+		clock: time.Now, inbox: make(chan posted, inboxSize), done: make(chan struct{}),
 		late: map[string]*lateReads{}, requests: map[string]*request{}, servers: map[string]*Server{}, bounds: bounds.under(set)}
+	d.Delays = &Delays{began: time.Now(), waiting: func() int { return len(d.inbox) }}
 	d.startedAt = d.clock()
 	d.starts = newStartTimes(wallClock, d.now())
 	d.takeList(known)
@@ -208,7 +210,7 @@
 		}
 		select {
 		case m := <-d.inbox:
-			m.apply(d)
+			d.take(m)
 		case <-timer.C:
 		case <-d.done:
 			d.checkExit()
@@ -224,7 +226,7 @@
 // post hands a message to the core's goroutine.
 func (d *Dispatcher) post(m message) {
 	select {
-	case d.inbox <- m:
+	case d.inbox <- posted{m, time.Now()}:
 	case <-d.done:
 	}
 }
@@ -322,6 +324,9 @@
 // ring does what is due.
 func (d *Dispatcher) ring() {
 	for len(d.alarms) > 0 && !d.alarms[0].at.After(d.clock()) {
-		heap.Pop(&d.alarms).(alarm).do()
+		due, began := heap.Pop(&d.alarms).(alarm), time.Now()
+		due.do()
+		now := time.Now()
+		d.Delays.book(nil, began.Sub(due.at), now.Sub(began), now)
 	}
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -86,7 +86,7 @@
 	for {
 		select {
 		case m := <-d.inbox:
-			m.apply(d)
+			d.take(m)
 		default:
 			return
 		}
--- a/internal/dispatch/inspect.go
+++ b/internal/dispatch/inspect.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "sort"
+import (
+	"sort"
+	"time"
+)
 
 // View is the core's present state, for people.
 type View struct {
@@ -69,6 +72,8 @@
 	}
 	c := d.Counts
 	f.Causes = c.Causes()
+	f.Delays, f.Behind = d.Delays.Snapshot(time.Now())
+	f.Waiting = d.Delays.waiting()
 	for _, r := range d.requests {
 		if r.held.addr != "" {
 			f.Held++
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -100,6 +100,11 @@
 		say("discovered", f.Listed, "g")
 		say("ejected", f.LeftAlone, "g")
 		say("held", f.Held, "g")
+		say("core.message_wait_us", int(f.Delays.Message.Microseconds()), "g")
+		say("core.timer_late_us", int(f.Delays.Timer.Microseconds()), "g")
+		say("core.longest_step_us", int(f.Delays.Step.Microseconds()), "g")
+		say("core.messages_waiting", f.Waiting, "g")
+		say("core.behind", f.Behind, "c")
 		for _, event := range slices.Sorted(maps.Keys(f.Causes)) {
 			for _, cause := range slices.Sorted(maps.Keys(f.Causes[event])) {
 				say(fmt.Sprintf("%s.%s", event, cause), f.Causes[event][cause], "c")
@@ -109,6 +114,12 @@
 	if p.agreed != nil {
 		p.agreed.figures(say)
 	}
+	c := p.pool.Counts()
+	say("connections.made", c.Made, "c")
+	say("connections.failed", c.Failed, "c")
+	say("connections.reused", c.Reused, "c")
+	say("connections.evicted", c.Evicted, "c")
+	say("connections.open", c.Open, "g")
 	say("sighup_applied", int(p.applied.Load()), "c")
 	say("sighup_rejected", int(p.rejected.Load()), "c")
 	return out.Bytes()
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -24,9 +24,22 @@
 	idleMost    time.Duration // a connection that has stood idle for longer is not used again
 	dialTimeout time.Duration
 	open        int
+	counts      PoolCounts
 	idle        map[string][]*conn // by address, the latest used last
 }
 
+// PoolCounts are what a pool has done since its start; Open is the present number of connections.
+type PoolCounts struct{ Made, Failed, Reused, Evicted, Open int }
+
+// Counts gives the counts so far.
+func (p *Pool) Counts() PoolCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.counts
+	c.Open = p.open
+	return c
+}
+
 // conn is a connection with its read buffer, which outlives a request on it.
 type conn struct {
 	net.Conn
@@ -120,6 +133,7 @@
 	for i, c := range slices.Backward(all) {
 		if rested := time.Since(c.idledAt); rested >= restLeast {
 			p.idle[addr] = slices.Delete(all, i, i+1)
+			p.counts.Reused++
 			return c, rested < p.idleMost
 		}
 	}
@@ -134,10 +148,14 @@
 	}
 	d := net.Dialer{Timeout: limit, KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp", addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err != nil {
-		p.free()
+		p.open--
+		p.counts.Failed++
 		return nil, err
 	}
+	p.counts.Made++
 	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer), addr: addr}, nil
 }
 
@@ -165,6 +183,7 @@
 	}
 	p.idle[oldest.addr] = p.idle[oldest.addr][1:]
 	_ = oldest.Close() // nothing more is wanted of it
+	p.counts.Evicted++
 	return p.dialTimeout, nil
 }
 
