Reproduce the incident in large fleets on a real dispatcher, as a test that fails

The log of the core shows timers 0.7 to 0.9 s late and 1,024 messages waiting, none of which was taken for whole seconds.

--- a/cmd/proving/main.go
+++ b/cmd/proving/main.go
@@ -33,6 +33,7 @@
 	Back    backCmd          `cmd:"" help:"Measure the return from a loss of power: worth served second by second, as before and with the stages."`
 	Ledger  ledgerMeasureCmd `cmd:"" help:"Measure the ledger: what intents wait by mode and rate, and how long one of a million entries takes to open."`
 	Soak    soakCmd          `cmd:"" help:"Play seeds of overlapping faults on real dispatchers and replicas, and judge what clients and replicas saw."`
+	Scale   scaleCmd         `cmd:"" help:"Play one dispatcher before a fleet of the usual size and before a large one, with replicas replaced and a zone silent, and hold what it needs against the bounds."`
 	Faults  faultsCmd        `cmd:"" help:"Put in each fault on purpose and count the seeds until it is found."`
 }
 
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -165,7 +165,7 @@
 			"deadline_us": c.Deadline.Microseconds(), "credit": 2, "late_worth": 0.3, "key_scope": "all", "window_us": 2000000, "stream": true})
 	}
 	return map[string]any{
-		"siblings": dispatchers, "zone": "z", "zones": []string{"z"}, "host_types": []string{"reader", "writer"},
+		"siblings": dispatchers, "zone": zoneName(0), "zones": []string{zoneName(0), zoneName(1), zoneName(2)}, "host_types": []string{"reader", "writer"},
 		"family_info": map[string]any{"duty_by_kind": []string{"read", "write"}, "kv_tokens": []int{1000000, 1000000}, "let_go_by_us": letGoBy.Microseconds()},
 		"limits": map[string]any{"try_limit": 6, "cancel": true, "retry_after": true, "max_retry_after_us": 2000000, "connect_timeout_us": 250000,
 			"conn_idle_us": 30000000, "may_duplicate": true},
@@ -174,6 +174,9 @@
 	}
 }
 
+// zoneName names a zone by its number.
+func zoneName(n int) string { return fmt.Sprintf("z%d", n) }
+
 const (
 	letGoBy    = 500 * time.Millisecond
 	drainGrace = time.Second
--- a/internal/soak/registry.go
+++ b/internal/soak/registry.go
@@ -47,13 +47,32 @@
 	}
 }
 
-// take books a report. A release lets go of what is held and of what reads in progress will leave.
+// localReporter reports from within the registry's own process.
+type localReporter struct{ *registry }
+
+func (l localReporter) report(n Note) { l.take(n, nil) }
+
+func (l localReporter) fetch(n Note) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book(n)
+}
+
+// take books a report, and answers one that asks for a state.
 func (g *registry) take(n Note, c net.Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c != nil {
 		g.conns[n.Replica] = c
 	}
+	if held := g.book(n); n.Kind == Fetch {
+		g.say(c, fetched{Held: &held})
+	}
+}
+
+// book books a report. A release lets go of what is held and of what reads in progress will leave. A fetch
+// takes what is held, and is told whether anything was. It needs mu.
+func (g *registry) book(n Note) (held bool) {
 	g.notes = append(g.notes, n)
 	switch n.Kind {
 	case Taken:
@@ -69,10 +88,10 @@
 			g.reads[n.ID][reader] = false
 		}
 	case Fetch:
-		held := g.held[n.ID]
+		held = g.held[n.ID]
 		g.held[n.ID] = false
-		g.say(c, fetched{Held: &held})
 	}
+	return held
 }
 
 // say needs mu.
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -61,53 +61,95 @@
 	Conduct *Conduct `json:",omitempty"`
 }
 
-// replica is the process.
+// replica plays one reader or writer.
 type replica struct {
-	cfg     ReplicaConfig
-	mu      sync.Mutex // for all below
+	cfg  ReplicaConfig
+	tell reporter
+	mu   sync.Mutex // for all below
+	how  Conduct
+	draw *rand.Rand
+}
+
+// reporter is how a replica reaches the registry.
+type reporter interface {
+	// report books a note.
+	report(Note)
+	// fetch books a Fetch and tells whether the state was there.
+	fetch(Note) bool
+}
+
+// remoteReporter reports over a connection, from another process.
+type remoteReporter struct {
+	mu      sync.Mutex // held for a write
 	conn    net.Conn
-	conduct Conduct
-	draw    *rand.Rand
 	asking  sync.Mutex // held by who waits for a reply
 	replies chan bool
 }
 
-// RunReplica is the process of a replica. It returns when its registry has gone.
-func RunReplica(text string) error {
-	r := &replica{replies: make(chan bool, 1)}
-	if err := jsoniter.UnmarshalFromString(text, &r.cfg); err != nil {
-		return fmt.Errorf("%s: %w", ReplicaEnv, err)
+func (m *remoteReporter) report(n Note) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	text, err := jsoniter.Marshal(n)
+	if err == nil {
+		_, err = m.conn.Write(append(text, '\n'))
 	}
-	r.draw = rand.New(rand.NewPCG(r.cfg.Seed, uint64(os.Getpid())))
-	conn, err := net.Dial("tcp", r.cfg.Registry)
 	if err != nil {
-		return err
+		os.Exit(1) // without its registry nothing that it does counts
 	}
-	r.conn = conn
+}
+
+func (m *remoteReporter) fetch(n Note) bool {
+	m.asking.Lock()
+	defer m.asking.Unlock()
+	m.report(n)
+	return <-m.replies
+}
+
+func newReplica(cfg ReplicaConfig, tell reporter) *replica {
+	return &replica{cfg: cfg, tell: tell, draw: rand.New(rand.NewPCG(cfg.Seed, uint64(os.Getpid())))}
+}
+
+// listen serves calls.
+func (r *replica) listen() (*standin.Replica, error) {
 	act := r.write
 	if r.cfg.Reader {
 		act = r.read
 	}
-	if _, err := standin.StartSeen(r.cfg.Listen, r.seen, act); err != nil {
+	return standin.StartSeen(r.cfg.Listen, r.seen, act)
+}
+
+// RunReplica is the process of a replica. It returns when its registry has gone.
+func RunReplica(text string) error {
+	var cfg ReplicaConfig
+	if err := jsoniter.UnmarshalFromString(text, &cfg); err != nil {
+		return fmt.Errorf("%s: %w", ReplicaEnv, err)
+	}
+	conn, err := net.Dial("tcp", cfg.Registry)
+	if err != nil {
+		return err
+	}
+	remote := &remoteReporter{conn: conn, replies: make(chan bool, 1)}
+	r := newReplica(cfg, remote)
+	if _, err := r.listen(); err != nil {
 		return err
 	}
 	r.note(Taken, "") // it is up
-	return r.obey()
+	return r.obey(remote)
 }
 
 // obey takes replies and conducts from the registry.
-func (r *replica) obey() error {
-	for lines := bufio.NewScanner(r.conn); lines.Scan(); {
+func (r *replica) obey(remote *remoteReporter) error {
+	for lines := bufio.NewScanner(remote.conn); lines.Scan(); {
 		var m fetched
 		if err := jsoniter.Unmarshal(lines.Bytes(), &m); err != nil {
 			return err
 		}
 		if m.Held != nil {
-			r.replies <- *m.Held
+			remote.replies <- *m.Held
 		}
 		if m.Conduct != nil {
 			r.mu.Lock()
-			r.conduct = *m.Conduct
+			r.how = *m.Conduct
 			r.mu.Unlock()
 		}
 	}
@@ -115,23 +157,20 @@
 }
 
 func (r *replica) note(kind NoteKind, id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	text, err := jsoniter.Marshal(Note{At: time.Now(), Replica: r.cfg.Name, Kind: kind, ID: id})
-	if err == nil {
-		_, err = r.conn.Write(append(text, '\n'))
-	}
-	if err != nil {
-		os.Exit(1) // without its registry nothing that it does counts
-	}
+	r.tell.report(Note{At: time.Now(), Replica: r.cfg.Name, Kind: kind, ID: id})
 }
 
 // fetch asks whether the state of a request is there, and takes it.
 func (r *replica) fetch(id string) bool {
-	r.asking.Lock()
-	defer r.asking.Unlock()
-	r.note(Fetch, id)
-	return <-r.replies
+	return r.tell.fetch(Note{At: time.Now(), Replica: r.cfg.Name, Kind: Fetch, ID: id})
+}
+
+// ended reports the end of an attempt. Where the replica fell silent meanwhile, the dispatcher has given it up just now.
+func (r *replica) ended(x *standin.Exchange) {
+	if x.Unsaid() {
+		r.note(GaveUp, x.ID)
+	}
+	r.note(Ended, x.ID)
 }
 
 func (r *replica) seen(c standin.Call) {
@@ -146,7 +185,7 @@
 // misbehave plays what the conduct asks for instead of an answer, and tells whether it did.
 func (r *replica) misbehave(x *standin.Exchange) bool {
 	r.mu.Lock()
-	c, p := r.conduct, r.draw.Float64()
+	c, p := r.how, r.draw.Float64()
 	r.mu.Unlock()
 	for _, way := range []struct {
 		share float64
@@ -170,14 +209,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	wait := least + time.Duration(r.draw.Int64N(int64(most-least)))
-	if r.conduct.Slow > 0 {
-		wait = time.Duration(float64(wait) * r.conduct.Slow)
+	if r.how.Slow > 0 {
+		wait = time.Duration(float64(wait) * r.how.Slow)
 	}
 	return wait
 }
 
 func (r *replica) read(x *standin.Exchange) {
-	defer r.note(Ended, x.ID)
+	defer r.ended(x)
 	if r.misbehave(x) || x.Await(r.span(readLeast, readMost)) {
 		return
 	}
@@ -193,7 +232,7 @@
 )
 
 func (r *replica) write(x *standin.Exchange) {
-	defer r.note(Ended, x.ID)
+	defer r.ended(x)
 	if r.misbehave(x) {
 		return
 	}
@@ -206,7 +245,7 @@
 	}
 	r.note(Ran, x.ID)
 	r.mu.Lock()
-	tokens, breaks := 2+r.draw.IntN(tokensMost), r.draw.Float64() < r.conduct.BreakStream
+	tokens, breaks := 2+r.draw.IntN(tokensMost), r.draw.Float64() < r.how.BreakStream
 	r.mu.Unlock()
 	x.Head()
 	for n := range tokens {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -177,7 +177,7 @@
 			return err
 		}
 		r.nodes = append(r.nodes, n)
-		r.entries = append(r.entries, standin.Entry{ID: n.cfg.Name, Addr: n.link.Addr, Zone: "z", Kind: kind, State: "in_service", Weight: 1})
+		r.entries = append(r.entries, standin.Entry{ID: n.cfg.Name, Addr: n.link.Addr, Zone: zoneName(0), Kind: kind, State: "in_service", Weight: 1})
 	}
 	if err := within(5*time.Second, func() bool { return r.reg.up() == len(r.nodes) }); err != nil {
 		return fmt.Errorf("replicas: %w", err)
--- a/internal/standin/agent.go
+++ b/internal/standin/agent.go
@@ -37,6 +37,9 @@
 	handed  int64           // the version of the list that was handed out last
 	named   map[string]bool // replicas that were handed out in service
 	without map[string]time.Time
+
+	changedAt map[string]int64 // by replica, the version that changed it, since deltas are told
+	deltaFrom int64            // the oldest version from which deltas are told; 0: none are
 }
 
 // StartAgent listens at addr.
@@ -63,6 +66,44 @@
 	a.changed = make(chan struct{})
 }
 
+// Change changes or adds entries; watches are answered with what has changed since the version that they know.
+func (a *Agent) Change(entries ...Entry) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.deltaFrom == 0 {
+		a.deltaFrom, a.changedAt = a.version, map[string]int64{}
+	}
+	a.version++
+	place := make(map[string]int, len(a.list))
+	for i, e := range a.list {
+		place[e.ID] = i
+	}
+	a.list = append([]Entry(nil), a.list...)
+	for _, e := range entries {
+		a.changedAt[e.ID] = a.version
+		if i, known := place[e.ID]; known {
+			a.list[i] = e
+		} else {
+			a.list = append(a.list, e)
+		}
+	}
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// changesSince gives the entries that have changed since a version, and whether they can be told. It needs mu.
+func (a *Agent) changesSince(version int64) (changes []Entry, ok bool) {
+	if a.deltaFrom == 0 || version < a.deltaFrom || version > a.version {
+		return nil, false
+	}
+	for _, e := range a.list {
+		if a.changedAt[e.ID] > version {
+			changes = append(changes, e)
+		}
+	}
+	return changes, true
+}
+
 // SetAt is Set with the register's version, which agents of one register share.
 func (a *Agent) SetAt(version int64, list ...Entry) {
 	a.mu.Lock()
@@ -202,6 +243,9 @@
 	if reply.Full {
 		reply.Servers = a.list
 	}
+	if changes, ok := a.changesSince(index); watch && reply.Full && ok {
+		reply.Full, reply.Servers = false, changes
+	}
 	a.mu.Unlock()
 	text, err := jsoniter.Marshal(reply)
 	if err != nil {
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -30,6 +30,9 @@
 	mu    sync.Mutex
 	calls []Call
 	conns map[net.Conn]bool
+
+	accepted int
+	silent   bool
 }
 
 // Start listens at addr ("127.0.0.1:0" picks a port) and plays each request by act.
@@ -56,6 +59,28 @@
 	}
 }
 
+// Silence has the replica say nothing and hear nothing from now on, on connections that are open or come up meanwhile, or speak again on new
+// ones. A connection that has fallen silent stays so.
+func (r *Replica) Silence(is bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = is
+}
+
+// IsSilent tells whether the replica is silent now.
+func (r *Replica) IsSilent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent
+}
+
+// Accepted counts the connections that came up.
+func (r *Replica) Accepted() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accepted
+}
+
 // Calls are the requests so far, of one method, or of all with "".
 func (r *Replica) Calls(method string) []Call {
 	r.mu.Lock()
@@ -77,6 +102,7 @@
 		}
 		r.mu.Lock()
 		r.conns[c] = true
+		r.accepted++
 		r.mu.Unlock()
 		go r.serve(c)
 	}
@@ -91,10 +117,14 @@
 	}()
 	br := bufio.NewReader(c)
 	for {
-		x := &Exchange{Conn: c}
+		x := &Exchange{Conn: c, r: r}
 		if err := x.Req.Read(br); err != nil {
 			return
 		}
+		if r.IsSilent() {
+			x.Gone()
+			return
+		}
 		x.Path = string(x.Req.URI().PathOriginal())
 		x.ID = string(x.Req.Header.Peek("X-Trace-Id"))
 		call := Call{Method: string(x.Req.Header.Method()), Path: x.Path, ID: x.ID, Body: string(x.Req.Body()), Header: map[string]string{}}
@@ -125,7 +155,9 @@
 	Req    fasthttp.Request
 	ID     string
 	Path   string
+	r      *Replica
 	broken bool
+	unsaid bool
 }
 
 // Status answers without a stream.
@@ -206,7 +238,19 @@
 	return gone
 }
 
+// Unsaid tells whether the replica fell silent in the middle of the exchange, and the other side has given it up since.
+func (x *Exchange) Unsaid() bool { return x.unsaid }
+
+// write writes a part of the answer. On a silent replica's connection it comes to nobody, and the exchange lasts until the other side ends it.
 func (x *Exchange) write(text string) {
+	if x.unsaid {
+		return
+	}
+	if x.r.IsSilent() {
+		x.unsaid = true
+		x.Gone()
+		return
+	}
 	if _, err := x.Conn.Write([]byte(text)); err != nil {
 		x.broken = true
 	}
