Owe first what concerns requests that were taken, and never make who ends a stream wait for the core

Callers saw ends of streams over 1 s late (rule lost) and states held too long (pinned) once the core was behind. Two causes of it: the inbox held 1,024 messages and a post to a full one waited, also that of the goroutine which passes a stream's end to the client and that of the watch of discovery; and timers that were always due again kept messages from being taken at all (log: 1,024 waiting, none taken for 6 s).

Now a post never waits, and a turn of the core takes up to 32 messages that tell of requests taken, then up to 32 timers that are due, then one new request. While all new requests have waited 0.1 s or longer for 0.25 s, one that has waited 0.25 s is refused unsent; the rest of a stream is not.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -19,6 +19,7 @@
 	movable    bool
 	noted      Noted
 	ticket     *Ticket
+	late       bool        // it has waited for the core for too long to be decided
 	left       atomic.Bool // the client has gone; any goroutine may find that out
 	clientGone func() bool
 	answered   bool
@@ -56,6 +57,8 @@
 		d.answer(r, Answer{Verdict: Failed, Reason: "a request with this id is open"})
 	case d.ending:
 		d.answer(r, Answer{Verdict: Refused, After: fullAfter, Reason: "the program ends"})
+	case r.late && !r.ask.Resumed:
+		d.answer(r, Answer{Verdict: Refused, After: fullAfter, Reason: "too many requests wait to be decided"})
 	case len(d.requests) >= d.bounds.Requests || d.size+r.size > d.bounds.Bytes:
 		d.answer(r, Answer{Verdict: Refused, After: fullAfter, Reason: "too many requests are open"})
 	case d.licence != nil:
--- a/internal/dispatch/delay.go
+++ b/internal/dispatch/delay.go
@@ -68,17 +68,3 @@
 	}
 	return y.last, y.behind
 }
-
-// posted is a message with the time at which it was handed in.
-type posted struct {
-	message
-	at time.Time
-}
-
-// take applies a message and books how long it had waited and what it took.
-func (d *Dispatcher) take(m posted) {
-	began := time.Now()
-	m.apply(d)
-	now := time.Now()
-	d.Delays.book(m.message, began.Sub(m.at), now.Sub(began), now)
-}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -104,8 +104,6 @@
 // message is what is posted to the goroutine that owns the core.
 type message interface{ apply(d *Dispatcher) }
 
-const inboxSize = 1024 // further posts wait; what can post is bounded by the open requests
-
 // Dispatcher is the core.
 type Dispatcher struct {
 	Phases *Phases
@@ -117,7 +115,7 @@
 	router   *logic.Router
 	releaser Releaser
 	clock    Clock
-	inbox    chan posted
+	inbox    *inbox
 	done     chan struct{}
 
 	// What follows belongs to Run's goroutine.
@@ -131,7 +129,8 @@
 	bounds    Bounds
 	size      int // of the open requests
 	licence   Licence
-	ending    bool                  // nothing more is taken
+	ending    bool // nothing more is taken
+	overload  overload
 	late      map[string]*lateReads // by the replica's address
 }
 
@@ -156,9 +155,9 @@
 		return nil, err
 	}
 	d := &Dispatcher{Phases: newPhases(), Counts: &Counts{}, set: set, router: router, releaser: releaser,
-		clock: time.Now, inbox: make(chan posted, inboxSize), done: make(chan struct{}),
+		clock: time.Now, inbox: newInbox(), done: make(chan struct{}),
 		late: map[string]*lateReads{}, requests: map[string]*request{}, servers: map[string]*Server{}, bounds: bounds.under(set)}
-	d.Delays = &Delays{began: time.Now(), waiting: func() int { return len(d.inbox) }}
+	d.Delays = &Delays{began: time.Now(), waiting: d.inbox.waiting}
 	d.startedAt = d.clock()
 	d.starts = newStartTimes(wallClock, d.now())
 	d.takeList(known)
@@ -202,32 +201,45 @@
 func (d *Dispatcher) Run() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	for {
-		if len(d.alarms) > 0 {
-			timer.Reset(time.Until(d.alarms[0].at))
-		} else {
-			timer.Reset(time.Hour)
-		}
-		select {
-		case m := <-d.inbox:
-			d.take(m)
-		case <-timer.C:
-		case <-d.done:
-			d.checkExit()
-			return
+	for !d.stopped() {
+		if !d.turn() {
+			d.await(timer)
 		}
-		d.ring()
+	}
+	d.checkExit()
+}
+
+// await returns when something may have been posted, when the next timer is due, or at Stop.
+func (d *Dispatcher) await(timer *time.Timer) {
+	wait := time.Hour
+	if len(d.alarms) > 0 {
+		wait = time.Until(d.alarms[0].at)
+	}
+	timer.Reset(wait)
+	select {
+	case <-d.inbox.posted:
+	case <-timer.C:
+	case <-d.done:
+	}
+}
+
+// stopped tells whether Stop was called.
+func (d *Dispatcher) stopped() bool {
+	select {
+	case <-d.done:
+		return true
+	default:
+		return false
 	}
 }
 
 // Stop ends Run. Messages posted later are dropped.
 func (d *Dispatcher) Stop() { close(d.done) }
 
-// post hands a message to the core's goroutine.
+// post hands a message to the core's goroutine. It does not block.
 func (d *Dispatcher) post(m message) {
-	select {
-	case d.inbox <- posted{m, time.Now()}:
-	case <-d.done:
+	if !d.stopped() {
+		d.inbox.put(m)
 	}
 }
 
@@ -321,12 +333,17 @@
 	heap.Push(&d.alarms, alarm{d.clock().Add(wait), do})
 }
 
-// ring does what is due.
-func (d *Dispatcher) ring() {
-	for len(d.alarms) > 0 && !d.alarms[0].at.After(d.clock()) {
+// ring does what is due, but no more than one turn may, and tells whether anything was.
+func (d *Dispatcher) ring() (busy bool) {
+	for range turnMost {
+		if len(d.alarms) == 0 || d.alarms[0].at.After(d.clock()) {
+			return busy
+		}
 		due, began := heap.Pop(&d.alarms).(alarm), time.Now()
 		due.do()
 		now := time.Now()
 		d.Delays.book(nil, began.Sub(due.at), now.Sub(began), now)
+		busy = true
 	}
+	return busy
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -84,12 +84,14 @@
 // drive applies what was posted.
 func drive(d *Dispatcher) {
 	for {
-		select {
-		case m := <-d.inbox:
-			d.take(m)
-		default:
+		m, ok := d.inbox.nextOwed()
+		if !ok {
+			m, ok = d.inbox.nextArrival()
+		}
+		if !ok {
 			return
 		}
+		d.take(m)
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/inbox.go
@@ -0,0 +1,154 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+)
+
+// A turn of the core does what waits for it in the order in which a core that has fallen behind owes it:
+//
+//  1. messages that tell of requests which were taken: attempts that began or ended, clients that left, releases that were confirmed,
+//     and lists. A timer must not judge by a state that such a message has already changed.
+//  2. timers that are due: releases of what is held, deadlines, attempts that take too long.
+//  3. one new request. Nothing of it has been sent, so it alone may be refused for want of time.
+//
+// No part may keep the next from its turn, so each is bounded.
+const turnMost = 32 // messages, and timers, of one turn
+
+// inbox holds what was posted to the core. Posting never blocks: whoever ends an attempt passes its stream's end on to the client, and
+// must not wait for a core that is behind. What can be posted is bounded by the connections of clients and by the attempts that are out.
+type inbox struct {
+	posted chan struct{} // holds a token when something may wait
+
+	mu       sync.Mutex
+	owed     queue
+	arrivals queue
+}
+
+func newInbox() *inbox { return &inbox{posted: make(chan struct{}, 1)} }
+
+// put takes a message in.
+func (b *inbox) put(m message) {
+	b.mu.Lock()
+	if _, isNew := m.(arrival); isNew {
+		b.arrivals.push(posted{m, time.Now()})
+	} else {
+		b.owed.push(posted{m, time.Now()})
+	}
+	b.mu.Unlock()
+	select {
+	case b.posted <- struct{}{}:
+	default:
+	}
+}
+
+// nextOwed gives the message that has waited the longest of those that are no new requests.
+func (b *inbox) nextOwed() (posted, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.owed.pop()
+}
+
+// nextArrival gives the new request that has waited the longest.
+func (b *inbox) nextArrival() (posted, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.arrivals.pop()
+}
+
+// waiting counts the messages.
+func (b *inbox) waiting() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.owed.len() + b.arrivals.len()
+}
+
+// posted is a message with the time at which it was handed in.
+type posted struct {
+	message
+	at time.Time
+}
+
+// queueKept is the length up to which an empty queue keeps its memory.
+const queueKept = 1024
+
+// queue is first in, first out. Its memory follows what waits.
+type queue struct {
+	items []posted
+	head  int
+}
+
+func (q *queue) len() int { return len(q.items) - q.head }
+
+func (q *queue) push(m posted) { q.items = append(q.items, m) }
+
+func (q *queue) pop() (m posted, ok bool) {
+	if q.len() == 0 {
+		return posted{}, false
+	}
+	m = q.items[q.head]
+	q.items[q.head] = posted{}
+	q.head++
+	if q.head == len(q.items) {
+		q.items, q.head = q.items[:0], 0
+		if cap(q.items) > queueKept {
+			q.items = nil
+		}
+	} else if q.head > len(q.items)/2 {
+		q.items, q.head = append([]posted(nil), q.items[q.head:]...), 0
+	}
+	return m, true
+}
+
+// turn does what waits for the core, and tells whether anything did.
+func (d *Dispatcher) turn() (busy bool) {
+	for range turnMost {
+		m, ok := d.inbox.nextOwed()
+		if !ok {
+			break
+		}
+		d.take(m)
+		busy = true
+	}
+	busy = d.ring() || busy
+	if m, ok := d.inbox.nextArrival(); ok {
+		d.take(m)
+		busy = true
+	}
+	return busy
+}
+
+// take applies a message and books how long it had waited and what it took.
+func (d *Dispatcher) take(m posted) {
+	began := time.Now()
+	if a, isNew := m.message.(arrival); isNew {
+		a.r.late = d.overload.late(began.Sub(m.at), began)
+	}
+	m.apply(d)
+	now := time.Now()
+	d.Delays.book(m.message, began.Sub(m.at), now.Sub(began), now)
+}
+
+const (
+	// refuseAfter is the wait of a new request from which it may be refused unseen.
+	refuseAfter = 250 * time.Millisecond
+	// refuseSustained is for how long all new requests must have waited for behindFrom or longer: a core that was held up once catches up.
+	refuseSustained = 250 * time.Millisecond
+)
+
+// overload tells a core that can't keep up from one that was held up for a moment.
+type overload struct {
+	since time.Time // when new requests began to wait for behindFrom or longer; zero: the last one did not
+}
+
+// late books the wait of a new request, and tells whether it is to be refused.
+func (o *overload) late(wait time.Duration, now time.Time) bool {
+	if wait < behindFrom {
+		o.since = time.Time{}
+		return false
+	}
+	if o.since.IsZero() {
+		o.since = now
+	}
+	return wait >= refuseAfter && now.Sub(o.since) >= refuseSustained
+}
--- /dev/null
+++ b/internal/dispatch/inbox_test.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"standpulley/logic"
+)
+
+// Guards against the incident in large fleets: the end of a stream was passed on to the client only when a core that was behind had taken
+// the message of it, as its inbox was full.
+func TestStreamEndDoesNotWaitForACoreThatIsBehind(t *testing.T) {
+	d, _ := core(t, 9)
+	k, p := take(d, "a", "safe")
+	end(d, p, logic.ReadDone)
+	p.sent[1].tell.Began(&closer{})
+	drive(d)
+	answerOf(t, k)
+	ended := make(chan error, 1)
+	go func() {
+		for range 5000 { // nobody takes them
+			d.Tell(Update{})
+		}
+		p.sent[1].tell.Ended(Result{Outcome: logic.Delivered})
+		ended <- io.EOF
+	}()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the end of a stream waits for the core")
+	}
+}
+
+// step notes its name when it is taken.
+type step struct {
+	name  string
+	taken *[]string
+}
+
+func (s step) apply(*Dispatcher) { *s.taken = append(*s.taken, s.name) }
+
+// A core that has fallen behind first hears of requests that were taken, then does what is due, and then takes one new request.
+func TestOwedComesBeforeNewRequests(t *testing.T) {
+	d, _ := core(t, 9)
+	var taken []string
+	for _, id := range []string{"a", "b"} {
+		d.Take(Request{ID: id, Received: time.Now(), Parcel: &parcel{}, Ask: logic.Request{Class: "safe", Remaining: 2 * time.Second}})
+	}
+	d.after(0, func() { step{"timer", &taken}.apply(d) })
+	d.post(step{"owed", &taken})
+	d.turn()
+	if len(taken) != 2 || taken[0] != "owed" || taken[1] != "timer" {
+		t.Errorf("taken %v", taken)
+	}
+	if len(d.requests) != 1 || d.requests["a"] == nil {
+		t.Errorf("%d new requests were taken in a turn", len(d.requests))
+	}
+}
+
+// Guards against the incident in large fleets: timers that were always due again kept the core from taking any message for seconds.
+func TestTimersThatAreAlwaysDueLeaveTheirTurnToMessages(t *testing.T) {
+	d, _ := core(t, 9)
+	var again func()
+	again = func() { d.after(0, again) }
+	again()
+	var taken []string
+	d.post(step{"owed", &taken})
+	d.Take(Request{ID: "a", Received: time.Now(), Parcel: &parcel{}, Ask: logic.Request{Class: "safe", Remaining: 2 * time.Second}})
+	done := make(chan bool)
+	go func() { d.turn(); done <- true }()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the timers do not end")
+	}
+	if len(taken) != 1 || d.requests["a"] == nil {
+		t.Errorf("taken %v, new request %v", taken, d.requests["a"] != nil)
+	}
+}
+
+// Messages that never stop leave their turn to timers.
+func TestMessagesLeaveTheirTurnToTimers(t *testing.T) {
+	d, _ := core(t, 9)
+	var taken []string
+	for range 3 * turnMost {
+		d.post(step{"owed", &taken})
+	}
+	d.after(0, func() { step{"timer", &taken}.apply(d) })
+	d.turn()
+	if len(taken) != turnMost+1 || taken[turnMost] != "timer" {
+		t.Errorf("%d were taken in a turn", len(taken))
+	}
+}
+
+// A core that can't keep up refuses new requests that have waited too long, unsent; one that was held up for a moment catches up, and the
+// rest of a stream, which is no new request, is decided.
+func TestNewRequestsAreRefusedWhileTheCoreCanNotKeepUp(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		behind  time.Duration // for how long all new requests have waited
+		resumed bool
+		refused bool
+	}{
+		{"held up once", 0, false, false},
+		{"can't keep up", refuseSustained, false, true},
+		{"the rest of a stream", refuseSustained, true, false},
+	} {
+		d, _ := core(t, 9)
+		p := &parcel{}
+		k := d.Take(Request{ID: "a", Received: time.Now(), Parcel: p, Ask: logic.Request{Class: "safe", Remaining: 2 * time.Second, Resumed: c.resumed}})
+		m, _ := d.inbox.nextArrival()
+		m.at = m.at.Add(-refuseAfter)
+		d.overload.since = time.Now().Add(-c.behind)
+		d.take(m)
+		if !c.refused {
+			none(t, k)
+			if len(p.sent) != 1 {
+				t.Errorf("%s: %d attempts", c.name, len(p.sent))
+			}
+			continue
+		}
+		if a := answerOf(t, k); a.Verdict != Refused || a.After == 0 || len(p.sent) != 0 {
+			t.Errorf("%s: %+v, %d attempts", c.name, a, len(p.sent))
+		}
+	}
+}
