Decide at the same cost before thousands of replicas as before a hundred

Callers saw nothing served while replicas were replaced: the core's goroutine fell behind. For each server in slow start the load of all servers was summed up anew, so a decision grew with the square of the fleet, and each decision copied, ranked and sorted all readers and weighed all writers.

Sums over a side are kept for 10 us for each of its servers.

--- a/logic/admission.go
+++ b/logic/admission.go
@@ -65,7 +65,7 @@
 	}
 	aim := aimShare * l.aimOf(r)
 	wait, least := math.Inf(1), math.Inf(1)
-	for _, s := range l.candidates(r, false) {
+	for _, s := range l.candidates(r, false).servers {
 		wait, least = min(wait, l.startWait(s)), min(least, l.load(s))
 	}
 	wait += c.wait
@@ -86,7 +86,7 @@
 	var best *server
 	aim := aimShare * l.aimOf(r)
 	least := aim
-	for _, s := range l.candidates(r, false) {
+	for _, s := range l.candidates(r, false).servers {
 		if s.role == Writer && !l.set.ReadInPlace || l.load(s) > inPlaceLoad {
 			continue
 		}
--- /dev/null
+++ b/logic/choices_test.go
@@ -0,0 +1,151 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+// largeFleet and usualFleet are the sizes that the standing test's page holds against each other.
+const (
+	largeFleet = 3200
+	usualFleet = 200
+)
+
+// Guards against the incident in large fleets: a decision took 50 ms where six in ten of 3,200 servers were in slow start, as the load of all
+// was summed up anew for each of them. The work for a request grows with the logarithm of the fleet at most; twice that is left for noise.
+func TestDecisionsCostNoMoreInALargeFleet(t *testing.T) {
+	most := 2 * math.Log(largeFleet) / math.Log(usualFleet)
+	for _, coldShare := range []float64{0, 0.6} {
+		least := map[int]time.Duration{}
+		for range 5 {
+			for _, n := range []int{usualFleet, largeFleet} {
+				l := benchFleet(t, n, coldShare)
+				began := time.Now()
+				for i := range 400 {
+					benchRequest(t, l, time.Hour+time.Duration(i)*ms(8), i)
+				}
+				if took := time.Since(began); least[n] == 0 || took < least[n] {
+					least[n] = took
+				}
+			}
+		}
+		if ratio := float64(least[largeFleet]) / float64(least[usualFleet]); ratio > most {
+			t.Errorf("cold %v: %v for 400 requests before %d servers, %v before %d: %.1f times, allowed are %.1f", coldShare, least[largeFleet],
+				largeFleet, least[usualFleet], usualFleet, ratio, most)
+		}
+	}
+}
+
+// In a large fleet a key's homes are those that a ranking of all readers gives, at every router whatever its seed.
+func TestHomesInALargeFleetAreThoseOfAll(t *testing.T) {
+	a, b := benchFleet(t, largeFleet, 0), benchFleet(t, largeFleet, 0)
+	b.seed = 99
+	for key := range uint64(50) {
+		r := &request{Request: Request{Session: key + 1}, class: a.classes["c"]}
+		want := slices.MinFunc(a.readers.servers, func(x, y *server) int {
+			return byRank(ranked{x, -math.Log(unit(r.Session ^ x.hash))}, ranked{y, -math.Log(unit(r.Session ^ y.hash))})
+		})
+		for _, l := range []*Router{a, b} {
+			if got := l.homes(r, l.candidates(r, true), nil); len(got) != 1 || got[0].at.ID != want.ID {
+				t.Fatalf("key %d: got %d homes, first %s, want %s", key, len(got), got[0].at.ID, want.ID)
+			}
+		}
+	}
+}
+
+// A text that many begin with has many homes: of two sessions in turn each keeps its own, and together they come to most of them.
+func TestPopularTextHasManyHomesInALargeFleet(t *testing.T) {
+	l := benchFleet(t, largeFleet, 0)
+	l.now = time.Hour
+	const share = 200
+	from := map[*server]bool{}
+	for session := range uint64(1000) {
+		r := &request{Request: Request{Session: session + 1, Prefix: 7}}
+		homes := l.lowest(l.readers.servers, l.keyRank(r), sessionRank(r), share, homesWeighed, nil)
+		if len(homes) != homesWeighed {
+			t.Fatalf("%d homes are weighed", len(homes))
+		}
+		from[homes[0].at] = true
+	}
+	if len(from) < share/2 || len(from) > 2*share {
+		t.Errorf("the sessions of a text with %d homes go to %d readers", share, len(from))
+	}
+}
+
+// What is drawn in a large fleet names no server twice, and in time all.
+func TestDrawComesToAllServers(t *testing.T) {
+	l := benchFleet(t, largeFleet, 0)
+	seen := map[*server]bool{}
+	for seq := range uint64(1000) {
+		some := l.readyOf(&request{seq: seq, class: l.classes["c"]}, l.readers.servers, drawn)
+		once := map[*server]bool{}
+		for _, s := range some {
+			seen[s], once[s] = true, true
+		}
+		if len(once) != drawn {
+			t.Fatalf("%d of %d drawn servers differ", len(once), drawn)
+		}
+	}
+	if len(seen) != len(l.readers.servers) {
+		t.Errorf("%d of %d readers were drawn", len(seen), len(l.readers.servers))
+	}
+}
+
+// Where few of a large fleet may be sent to, they are found.
+func TestFewReadyServersOfALargeFleetAreFound(t *testing.T) {
+	l := benchFleet(t, largeFleet, 0)
+	for i, s := range l.order {
+		if i%400 > 1 {
+			s.fails, s.backAt = 1, l.now+time.Hour
+		}
+	}
+	r := &request{Request: Request{Session: 3}, class: l.classes["c"]}
+	for _, readers := range []bool{true, false} {
+		if got := l.candidates(r, readers).servers; len(got) != largeFleet/400 {
+			t.Errorf("readers %v: %d of %d ready servers are found", readers, len(got), largeFleet/400)
+		}
+	}
+}
+
+// Requests spread over a large fleet as they come: none is sent many times its share.
+func TestRequestsSpreadOverALargeFleet(t *testing.T) {
+	l := benchFleet(t, largeFleet, 0)
+	count, now := map[string]int{}, time.Hour
+	const requests = 3200
+	for i := range requests {
+		now += ms(8)
+		id := fmt.Sprint("q", i)
+		read := find(l.Handle(now, arrival(id, uint64(i)+1, 0), nil), Send)
+		count[read.Server]++
+		acts := l.Handle(now+ms(50), &Event{Kind: Ended, RequestID: id, Server: read.Server, Outcome: ReadDone, Took: ms(50), Tokens: 0}, nil)
+		write := find(acts, Send)
+		count[write.Server]++
+		l.Handle(now+ms(60), &Event{Kind: StreamStarted, RequestID: id, Server: write.Server, Attempt: 1, Took: ms(10)}, nil)
+		l.Handle(now+ms(500), &Event{Kind: Ended, RequestID: id, Server: write.Server, Attempt: 1, Outcome: Delivered, Over: true}, nil)
+	}
+	for id, n := range count {
+		if n > 20 { // each takes two
+			t.Errorf("%s was sent %d of %d", id, n, requests)
+		}
+	}
+}
+
+// A read's state goes to a writer of its cell in a large fleet too, where one is as free as others.
+func TestStateStaysInItsCellInALargeFleet(t *testing.T) {
+	l := benchFleet(t, largeFleet, 0)
+	l.now = time.Hour
+	stayed := 0
+	for seq := range uint64(200) {
+		reader := l.readers.servers[int(seq)*7]
+		r := &request{seq: seq, class: l.classes["c"], state: reader}
+		if s := l.chooseWriter(r); s != nil && s.Cell == reader.Cell {
+			stayed++
+		}
+	}
+	if stayed < 190 {
+		t.Errorf("%d of 200 states stay in their cells", stayed)
+	}
+}
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -141,7 +141,7 @@
 					MaxOutput: 200, Remaining: 6 * time.Second}
 			}
 			hot, l := uint64(1), newRouter(t, set, list...)
-			for l.homes(&request{Request: ask(hot)}, l.candidates(&request{}, true))[0].at.ID != "r0" {
+			for l.homes(&request{Request: ask(hot)}, l.candidates(&request{}, true), nil)[0].at.ID != "r0" {
 				hot++
 			}
 			traffic := func() Request {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -190,7 +190,7 @@
 	l.now, l.average = ms(10000), 0.0001
 	r := &request{Request: arrival("q", 7, 9).Request}
 	var homes []*server
-	for _, h := range l.homes(r, l.candidates(r, true)) {
+	for _, h := range l.homes(r, l.candidates(r, true), nil) {
 		homes = append(homes, h.at)
 	}
 	for _, s := range l.order {
@@ -330,7 +330,7 @@
 	usable := func(tenant string, at int) bool {
 		l.now = ms(at)
 		r := &request{Request: Request{Tenant: tenant}, class: l.classes["c"]}
-		return slices.Contains(l.candidates(r, true), l.servers[first])
+		return slices.Contains(l.candidates(r, true).servers, l.servers[first])
 	}
 	if usable("a", 2000) || !usable("b", 2000) || !usable("a", 12000) {
 		t.Errorf("usable to a %v, to b %v, to a later %v; want false, true, true",
@@ -353,7 +353,7 @@
 		l.failed(l.servers["r1"])
 		l.candidates(&request{}, true)
 		l.now = ms(12000)
-		if slices.Contains(l.candidates(&request{}, true), l.servers["r1"]) {
+		if slices.Contains(l.candidates(&request{}, true).servers, l.servers["r1"]) {
 			tried++
 		}
 	}
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -1,9 +1,6 @@
 package logic
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Membership: the list of servers and what their zones and cells weigh.
 
@@ -80,6 +77,7 @@
 		}
 		l.place(s)
 	}
+	l.index()
 	l.weighPlaces()
 }
 
@@ -123,28 +121,3 @@
 		}
 	}
 }
-
-// candidates are the readers, or the writers, that may be sent a request now: listed, not full, within the
-// cold budget, in no failure's pause. After a pause one real request at a time tries a server, as probes may
-// be forbidden. Where all are in a pause it does not count, so that no misjudgement shuts the fleet out.
-func (l *Router) candidates(r *request, readers bool) []*server {
-	var well, paused []*server
-	for _, s := range l.order {
-		switch {
-		case (s.role == Reader) != readers || !s.listed || !l.allowed(r, s):
-		case l.now < s.lane(r).fullTill || l.inSlowStart(s) && !l.coldAllows(s) && !(readers && l.seesLittle()):
-		case s.fails == 0 || len(s.waiting) == 0 && l.coldAllows(s) && l.now >= s.backAt:
-			well = append(well, s)
-		case len(s.waiting) == 0:
-			paused = append(paused, s)
-		}
-	}
-	if len(well) == 0 {
-		well = paused
-	}
-	tried := func(s *server) bool { return slices.Contains(r.avoid, s) }
-	if rest := slices.DeleteFunc(slices.Clone(well), tried); len(rest) > 0 {
-		return rest
-	}
-	return well
-}
--- a/logic/placement.go
+++ b/logic/placement.go
@@ -23,24 +23,32 @@
 
 // chooseReader gives the reader with the lowest wait plus unmatched read time.
 func (l *Router) chooseReader(r *request) (best readChoice) {
-	readers := l.candidates(r, true)
-	held, homes := l.matches(r), l.homes(r, readers)
+	choices := l.candidates(r, true)
+	held := l.matches(r)
+	homes := l.homes(r, choices, l.mayRead(r, nil))
+	readers := choices.servers
 	if l.seesLittle() && len(homes) > 0 {
 		home := homes[0].at
-		kept, gone := l.previousHome(r, readers)
-		moves := l.movesToNewcomer(r, home, readers, len(homes))
+		kept, gone := l.previousHome(r, choices)
+		moves := l.movesToNewcomer(r, home, choices.count, len(homes))
 		if kept != nil && (!moves || unit(mix(r.Session+2)) < gone) { // few leave a reader that is still there
 			home, moves = kept, false
 		}
+		newcomer := func(s *server) bool { return l.inSlowStart(s) && !(s == home && moves) }
 		all := len(readers)
-		readers = slices.DeleteFunc(readers, func(s *server) bool { return l.inSlowStart(s) && !(s == home && moves) })
-		if len(readers) < all {
-			homes = l.homes(r, readers)
+		readers = slices.DeleteFunc(readers, newcomer)
+		if len(readers) < all || choices.all != nil {
+			choices.count -= (all - len(readers)) * choices.count / max(all, 1)
+			choices.servers = readers
+			homes = l.homes(r, choices, l.mayRead(r, newcomer))
 		}
 		if moves || kept != nil {
 			homes = append([]ranked{{at: home}}, homes...)
 		}
 	}
+	if choices.all != nil {
+		readers = l.withKnown(r, readers, homes, held)
+	}
 	for i, home := range homes { // others that know the list send the same key here
 		s := home.at
 		most := r.PrefixTokens
@@ -80,3 +88,28 @@
 	}
 	return best
 }
+
+// mayRead tells of readers that are not weighed yet whether a request may be sent to them, but for those that are left out.
+func (l *Router) mayRead(r *request, leftOut func(*server) bool) func(*server) bool {
+	return func(s *server) bool {
+		return (leftOut == nil || !leftOut(s)) && l.readiness(r, s) == ready && !slices.Contains(r.avoid, s)
+	}
+}
+
+// withKnown adds to the readers that were drawn in a large fleet the request's homes, and those that hold a part of its prompt.
+func (l *Router) withKnown(r *request, readers []*server, homes []ranked, held map[*server]match) []*server {
+	for _, home := range homes {
+		if !slices.Contains(readers, home.at) {
+			readers = append(readers, home.at)
+		}
+	}
+	may := l.mayRead(r, nil)
+	for _, key := range r.tableKeys() {
+		for _, h := range l.table[key] {
+			if held[h.at].tokens > 0 && h.at.listed && !slices.Contains(readers, h.at) && may(h.at) {
+				readers = append(readers, h.at)
+			}
+		}
+	}
+	return readers
+}
--- a/logic/prefixtable.go
+++ b/logic/prefixtable.go
@@ -30,6 +30,12 @@
 	return tableKey{false, r.Session}, tableKey{true, r.Prefix}
 }
 
+// tableKeys gives both.
+func (r *request) tableKeys() [2]tableKey {
+	session, prefix := keysOf(r)
+	return [2]tableKey{session, prefix}
+}
+
 // live tells whether an entry is neither old nor of an earlier process.
 func (l *Router) live(h holding) bool { return l.now-h.seen <= keyLife && h.seen >= h.at.since }
 
--- a/logic/router.go
+++ b/logic/router.go
@@ -32,6 +32,8 @@
 	tenants       map[string]*tenantState
 	servers       map[string]*server
 	order         []*server // in order of first listing
+	readers       side
+	writers       side // and servers that do both
 	table         map[tableKey][]holding
 	requests      map[string]*request
 	bySeq         map[uint64]*request
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -153,6 +153,7 @@
 	for _, s := range l.order {
 		l.place(s)
 	}
+	l.index()
 	l.weighPlaces()
 	return nil
 }
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -1,6 +1,9 @@
 package logic
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 // Slow start: the budget of servers that may be cold.
 
@@ -30,7 +33,7 @@
 // movesToNewcomer tells whether a session moves to its home where that is a reader in slow start, one of so many homes of its text. It gets the
 // part of them that its warmth bears, the same at all routers whatever they have seen, less of texts that crowd beyond what their other
 // homes take, and none more than two sends ahead of its credit, which is counted up to now, as it is a candidate.
-func (l *Router) movesToNewcomer(r *request, s *server, readers []*server, homes int) bool {
+func (l *Router) movesToNewcomer(r *request, s *server, readers, homes int) bool {
 	crowd := l.demand(r, readers, demandDoubt) / float64(homes)
 	part := coldPart * l.set.FallMultiple * l.warmth(s) / max(crowd, 1)
 	return l.inSlowStart(s) && s.coldCredit >= -1 && unit(mix(r.Session+1)^s.hash) < part
@@ -59,16 +62,8 @@
 // may go by it. A router that has seen few arrivals presumes that they are shared evenly: over all routers that is right, while what each
 // has seen served itself starves newcomers where routers restart. While none of the kind is warm, it goes by what the last warm ones bore.
 func (l *Router) shareOf(s *server, came float64) (share, safety float64) {
-	var served, weight, role float64
-	for _, o := range l.order {
-		if o.listed && (o.role == Reader) == (s.role == Reader) {
-			role += o.Weight
-			if !l.cold(o) && o.Kind == s.Kind {
-				served += o.rate.add(l.now, 0, rateMemory)
-				weight += o.Weight
-			}
-		}
-	}
+	load := l.loadOf(l.sideOf(s))
+	served, weight := load.warm[s.Kind].served, load.warm[s.Kind].weight
 	safety = coldSafety
 	if weight == 0 {
 		served, weight = cmp.Or(l.set.Bears[s.Kind], l.borne[s.Kind])*rateMemory.Seconds(), 1
@@ -80,7 +75,39 @@
 	if s.role == Mixed { // what a kind gets beside others shows in time only
 		doubt = 0
 	}
-	return (served/weight + doubt/max(role, s.Weight)) / max(came+doubt, 1e-9), safety
+	return (served/weight + doubt/max(load.weight, s.Weight)) / max(came+doubt, 1e-9), safety
+}
+
+// sideLoad is what the servers of a side weigh, and what the warm ones of each kind bear.
+type sideLoad struct {
+	at     time.Duration // when it was summed up
+	summed bool
+	weight float64
+	warm   map[string]warmLoad
+}
+
+// warmLoad is what the warm servers of a kind served lately, and weigh.
+type warmLoad struct{ served, weight float64 }
+
+// sumEvery is how long the sums over a side are good for, for each of its servers. So a decision costs the same in a fleet of any size.
+const sumEvery = 10 * time.Microsecond
+
+// loadOf gives the sums over a side.
+func (l *Router) loadOf(d *side) *sideLoad {
+	if d.load.summed && l.now-d.load.at <= sumEvery*time.Duration(len(d.servers)) {
+		return &d.load
+	}
+	d.load = sideLoad{at: l.now, summed: true, warm: map[string]warmLoad{}}
+	for _, s := range d.servers {
+		d.load.weight += s.Weight
+		if !l.cold(s) {
+			w := d.load.warm[s.Kind]
+			w.served += s.rate.add(l.now, 0, rateMemory)
+			w.weight += s.Weight
+			d.load.warm[s.Kind] = w
+		}
+	}
+	return &d.load
 }
 
 // rememberBorne notes what the warm servers of each kind bear, before a list takes them away.
--- a/logic/writer.go
+++ b/logic/writer.go
@@ -39,7 +39,7 @@
 // are ranked by seed, or all routers that know as little would pick the same. Where a cell or zone has more
 // than its share of the reading, only its writers' part of the states stays: else they jam and others idle.
 func (l *Router) chooseWriter(r *request) *server {
-	writers := l.candidates(r, false)
+	writers := l.candidates(r, false).servers
 	least, draw := math.Inf(1), l.seed^mix(r.seq)
 	loads := make([]float64, len(writers))
 	for i, s := range writers {
