Order the replicas for a release once for a list, and try a bounded number of them

Callers saw state held too long (pinned). Each release copied and sorted all replicas on the core's goroutine, 3 to 10 ms at 3,200 replicas, and again in the pool's order; while a zone was silent single steps took 20 to 31 ms and messages waited up to 0.36 s (log, 3,200 replicas).

The order stands until a list or the settings change.

--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
-	"sort"
 
 	"standpulley/logic"
 )
@@ -126,54 +124,10 @@
 // or nothing is held there any more; then those that are surest to be there, in service and long started.
 func (d *Dispatcher) release(id, holder string, cause Cause) {
 	d.countRelease(id, holder, cause)
-	d.releaser.Release(id, d.releaseOrder(holder))
+	d.releaser.Release(id, d.releaseOrder(id, holder))
 }
 
 func (d *Dispatcher) countRelease(id, holder string, cause Cause) {
 	d.Counts.update(func(t *Totals) { t.Releases++ })
 	d.Counts.Count(StateReleased, cause, fmt.Sprintf("%s held at %q", id, holder))
 }
-
-// releaseOrder gives the addresses of the replicas to ask for a release, in their order.
-func (d *Dispatcher) releaseOrder(holder string) []string {
-	all := make([]*Server, 0, len(d.servers))
-	for _, s := range d.servers {
-		all = append(all, s)
-	}
-	sort.Slice(all, func(i, j int) bool {
-		a, b := all[i], all[j]
-		if a.Availability != b.Availability {
-			return a.Availability < b.Availability
-		}
-		if a.Started != b.Started {
-			return a.Started < b.Started
-		}
-		return a.ID < b.ID
-	})
-	addrs := slices.DeleteFunc(d.oneOfEachZone(all), func(addr string) bool { return addr == holder })
-	if holder != "" {
-		addrs = slices.Insert(addrs, 0, holder)
-	}
-	return addrs
-}
-
-// oneOfEachZone gives the addresses to try in turn: the first of the own zone, the first of each other, then the second ones. A
-// zone that is cut off costs one try and not all of them.
-func (d *Dispatcher) oneOfEachZone(all []*Server) (addrs []string) {
-	turn, next := map[*Server]int{}, map[string]int{}
-	for _, s := range all {
-		turn[s] = next[s.Zone]
-		next[s.Zone]++
-	}
-	sort.SliceStable(all, func(i, j int) bool {
-		a, b := all[i], all[j]
-		if turn[a] != turn[b] {
-			return turn[a] < turn[b]
-		}
-		return a.Zone == d.set.Zone && b.Zone != d.set.Zone
-	})
-	for _, s := range all {
-		addrs = append(addrs, s.Addr)
-	}
-	return addrs
-}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 
 import (
 	"container/heap"
+	"hash/maphash"
 	"log"
 	"sync/atomic"
 	"time"
@@ -123,6 +124,8 @@
 	starts    *startTimes
 	requests  map[string]*request
 	servers   map[string]*Server
+	surest    []string // addresses of the replicas, the surest to be there first; nil: to be made anew
+	drawSeed  maphash.Seed
 	alarms    alarms
 	actions   []logic.Action
 	events    []logic.Event // that answer actions at once
@@ -158,6 +161,7 @@
 		clock: time.Now, inbox: newInbox(), done: make(chan struct{}),
 		late: map[string]*lateReads{}, requests: map[string]*request{}, servers: map[string]*Server{}, bounds: bounds.under(set)}
 	d.Delays = &Delays{began: time.Now(), waiting: d.inbox.waiting}
+	d.drawSeed = maphash.MakeSeed()
 	d.startedAt = d.clock()
 	d.starts = newStartTimes(wallClock, d.now())
 	d.takeList(known)
@@ -187,7 +191,7 @@
 func (q retuning) apply(d *Dispatcher) {
 	err := d.router.Retune(q.set)
 	if err == nil {
-		d.set, d.bounds = q.set, q.bounds.under(q.set)
+		d.set, d.bounds, d.surest = q.set, q.bounds.under(q.set), nil
 		d.Phases.setAble(d.able())
 		if q.licence != nil {
 			d.Under(q.licence)
@@ -254,6 +258,7 @@
 // takeList puts a list in force.
 func (d *Dispatcher) takeList(u Update) {
 	ev, before := logic.Event{Kind: logic.ListChanged}, d.servers
+	d.surest = nil
 	if u.Full {
 		ev.Kind = logic.ListComplete
 		d.servers = map[string]*Server{}
--- a/internal/dispatch/held.go
+++ b/internal/dispatch/held.go
@@ -112,7 +112,7 @@
 // releaseThen lets go of all that is held for a request, and posts a message once a replica has confirmed that, or after a time.
 func (d *Dispatcher) releaseThen(r *request, cause Cause, within time.Duration, then func(confirmed bool) message) {
 	d.countRelease(r.id, r.held.addr, cause)
-	d.releaser.ReleaseThen(r.id, d.releaseOrder(r.held.addr), within, func(confirmed bool) { d.post(then(confirmed)) })
+	d.releaser.ReleaseThen(r.id, d.releaseOrder(r.id, r.held.addr), within, func(confirmed bool) { d.post(then(confirmed)) })
 }
 
 // outAt tells whether an attempt at a server of a role is out.
--- /dev/null
+++ b/internal/dispatch/releaseorder.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"cmp"
+	"hash/maphash"
+	"slices"
+)
+
+const (
+	releaseFixed = 16   // replicas that are asked for each release, in the same order: connections to them stand open
+	releaseDrawn = 16   // and so many more that differ from release to release, as all of the others may be down
+	drawStride   = 7919 // a prime above the size of any fleet: steps of it come to each replica once
+)
+
+// releaseOrder gives the addresses of the replicas to ask for a release, in their order: the holder first, then those that are surest to be
+// there. The order of all is made anew only after a change of the list or of the settings.
+func (d *Dispatcher) releaseOrder(id, holder string) []string {
+	if d.surest == nil {
+		d.surest = d.surestFirst()
+	}
+	addrs := make([]string, 0, 1+releaseFixed+releaseDrawn)
+	if holder != "" {
+		addrs = append(addrs, holder)
+	}
+	add := func(addr string) {
+		if addr != holder {
+			addrs = append(addrs, addr)
+		}
+	}
+	fixed := d.surest[:min(releaseFixed+releaseDrawn, len(d.surest))]
+	if len(d.surest) > releaseFixed+releaseDrawn {
+		fixed = fixed[:releaseFixed]
+	}
+	for _, addr := range fixed {
+		add(addr)
+	}
+	if others := d.surest[len(fixed):]; len(others) > 0 {
+		start := int(maphash.String(d.drawSeed, id) % uint64(len(others)))
+		for i := range releaseDrawn {
+			add(others[(start+i*drawStride)%len(others)])
+		}
+	}
+	return addrs
+}
+
+// surestFirst gives the addresses of all replicas: those in service and long started first, and of these one of each zone in turn, the own
+// one's first, so that a zone which is cut off costs one try and not all of them.
+func (d *Dispatcher) surestFirst() []string {
+	type place struct {
+		*Server
+		turn int // among those of its zone
+	}
+	all := make([]place, 0, len(d.servers))
+	for _, s := range d.servers {
+		all = append(all, place{Server: s})
+	}
+	slices.SortFunc(all, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.Availability, b.Availability), cmp.Compare(a.Started, b.Started), cmp.Compare(a.ID, b.ID))
+	})
+	next := map[string]int{}
+	for i := range all {
+		all[i].turn = next[all[i].Zone]
+		next[all[i].Zone]++
+	}
+	elsewhere := func(s *Server) int {
+		if s.Zone == d.set.Zone {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(all, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(elsewhere(a.Server), elsewhere(b.Server)))
+	})
+	addrs := make([]string, len(all))
+	for i, s := range all {
+		addrs[i] = s.Addr
+	}
+	return addrs
+}
