Take lists at the cost of what they change, and log changes alone

Each list weighed every zone and cell, summed up the load of all servers, walked all known start times and logged a line for each entry, also of a whole list in which nothing was new: 1.7 ms of the core for a list of one entry at 3,200 servers, and 3,200 lines into a log buffer of 1,024. Discovery may tell of a release entry by entry.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,7 +14,6 @@
 import (
 	"container/heap"
 	"hash/maphash"
-	"log"
 	"sync/atomic"
 	"time"
 
@@ -255,65 +254,6 @@
 	d.takeList(u)
 }
 
-// takeList puts a list in force.
-func (d *Dispatcher) takeList(u Update) {
-	ev, before := logic.Event{Kind: logic.ListChanged}, d.servers
-	d.surest = nil
-	if u.Full {
-		ev.Kind = logic.ListComplete
-		d.servers = map[string]*Server{}
-	}
-	for _, s := range u.Servers {
-		s.Started = d.starts.started(s.ID, s.LastBoot, d.now())
-		ev.Servers = append(ev.Servers, s.ServerEntry)
-		s.withdrawn = new(atomic.Bool)
-		if was := before[s.ID]; was != nil && was.Availability == logic.Ready && s.Availability == logic.Ready && was.Addr == s.Addr {
-			s.withdrawn = was.withdrawn
-		} else if was != nil {
-			was.withdrawn.Store(true)
-		}
-		if s.Availability == logic.Gone {
-			delete(d.servers, s.ID)
-		} else {
-			d.servers[s.ID] = &s
-		}
-		log.Printf("list: %s %s %s zone %s cell %d is %v", s.ID, s.Kind, s.Addr, s.Zone, s.Cell, s.Availability)
-	}
-	if u.Full {
-		for id, was := range before {
-			if d.servers[id] == nil {
-				was.withdrawn.Store(true)
-			}
-		}
-	}
-	d.Phases.setAble(d.able())
-	d.route(ev)
-}
-
-// able tells whether the replicas in service could serve a request between them: one that does it whole, or a reader and a writer.
-func (d *Dispatcher) able() bool {
-	var reads, writes bool
-	for _, s := range d.servers {
-		if s.Availability != logic.Ready {
-			continue
-		}
-		role := d.roleOf(s)
-		reads = reads || role != logic.Writer || d.set.ReadInPlace
-		writes = writes || role != logic.Reader
-	}
-	return reads && writes
-}
-
-// roleOf finds a server's role by its kind.
-func (d *Dispatcher) roleOf(s *Server) (role logic.Role) {
-	for _, k := range d.set.Kinds {
-		if k.Name == s.Kind {
-			role = k.Role
-		}
-	}
-	return role
-}
-
 // alarm is a time at which something is to be done on the core's goroutine.
 type alarm struct {
 	at time.Time
--- a/internal/dispatch/starttime.go
+++ b/internal/dispatch/starttime.go
@@ -30,6 +30,7 @@
 	wallAtZero time.Time                 // what the wall clock would have shown at the module's zero, by its reading at the core's start
 	first      time.Duration             // when the first list came from discovery; 0: not yet
 	known      map[string]knownStartTime // by the replica's id
+	swept      time.Duration             // when what no list has named for long was forgotten last
 }
 
 // knownStartTime is the start of one replica's process.
@@ -74,6 +75,10 @@
 	if s.first == 0 {
 		s.first = now
 	}
+	if now-s.swept < startKept/10 {
+		return
+	}
+	s.swept = now
 	for id, known := range s.known {
 		if now-known.told > startKept {
 			delete(s.known, id)
--- a/logic/choices.go
+++ b/logic/choices.go
@@ -1,6 +1,9 @@
 package logic
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Choices: which servers are weighed for a request. In a fleet of the usual size all are. In a large one the work for a request must not
 // grow with the fleet, so a draw of the servers is weighed beside those that are likely to suit: with d choices drawn the best of them is
@@ -31,8 +34,17 @@
 	return &l.writers
 }
 
+// refresh puts the lists that were told since into the index, and weighs places anew.
+func (l *Router) refresh() {
+	if l.unindexed && (l.indexedAt == 0 || l.now-l.indexedAt >= sumEvery*time.Duration(len(l.order))) {
+		l.index()
+		l.weighPlaces()
+	}
+}
+
 // index sorts the listed servers by what they are looked up by.
 func (l *Router) index() {
+	l.unindexed, l.indexedAt = false, max(l.now, 1)
 	for _, readers := range []bool{true, false} {
 		side := l.side(readers)
 		*side = side.cleared()
@@ -85,6 +97,7 @@
 // candidates are the readers, or the writers, that may be sent a request now. Where all are in a pause it does not count, so that no
 // misjudgement shuts the fleet out.
 func (l *Router) candidates(r *request, readers bool) choices {
+	l.refresh()
 	side := l.side(readers)
 	if len(side.servers) <= allWeighed {
 		servers := l.untried(r, l.readyOf(r, side.servers, len(side.servers)))
--- a/logic/choices_test.go
+++ b/logic/choices_test.go
@@ -149,3 +149,32 @@
 		t.Errorf("%d of 200 states stay in their cells", stayed)
 	}
 }
+
+// Many small lists in a row, each of one server, cost what changed and not what is listed: the fleet is gone through no more often than its
+// size allows. What a list takes away is not sent to from then on, and what it brings is found a moment later.
+func TestManyListsInARowAreCheapInALargeFleet(t *testing.T) {
+	l := benchFleet(t, largeFleet, 0)
+	now, passes, at := time.Hour, 0, l.indexedAt
+	const lists = 1000
+	for i := range lists {
+		now += ms(1)
+		e := l.order[i].ServerEntry
+		e.Availability = Gone
+		l.Handle(now, &Event{Kind: ListChanged, Servers: []ServerEntry{e}}, nil)
+		if l.indexedAt != at {
+			passes, at = passes+1, l.indexedAt
+		}
+		if r := (&request{class: l.classes["c"]}); l.readiness(r, l.order[i]) != unready {
+			t.Fatalf("%s is gone, and may be sent to", e.ID)
+		}
+	}
+	if most := int(lists * ms(1) / (sumEvery * largeFleet)); passes > most {
+		t.Errorf("the fleet was gone through %d times for %d lists, allowed are %d", passes, lists, most)
+	}
+	l.Handle(now, &Event{Kind: ListChanged, Servers: []ServerEntry{entry("r-new", "r", 1)}}, nil)
+	l.now = now + sumEvery*time.Duration(len(l.order))
+	l.candidates(&request{class: l.classes["c"]}, true)
+	if !slices.Contains(l.readers.servers, l.servers["r-new"]) {
+		t.Error("a server that came with a list is not found")
+	}
+}
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -57,7 +57,7 @@
 	for _, e := range ev.Servers {
 		s := l.servers[e.ID]
 		if s == nil {
-			s = &server{heard: -1, coldCreditAt: -1, lanes: map[laneKey]lane{}}
+			s = &server{heard: -1, coldCreditAt: -1, homeWeight: 1, lanes: map[laneKey]lane{}}
 			for i := range e.ID {
 				s.hash = mix(s.hash ^ uint64(e.ID[i]))
 			}
@@ -68,6 +68,7 @@
 			clear(s.lanes)
 			s.rateAt, s.startAt = 0, 0
 		}
+		role := s.role
 		s.ServerEntry, s.listed = e, e.Availability == Ready
 		if !s.listed {
 			s.offAt = l.now
@@ -75,10 +76,12 @@
 		if s.Weight <= 0 {
 			s.Weight = 1
 		}
-		l.place(s)
+		if l.place(s); s.role != role { // what the index says of it is wrong
+			l.indexedAt = 0
+		}
 	}
-	l.index()
-	l.weighPlaces()
+	l.unindexed = true
+	l.refresh()
 }
 
 // placeSum is what all readers and all writers of a place weigh: the fleet, a zone or a cell.
--- a/logic/router.go
+++ b/logic/router.go
@@ -34,6 +34,8 @@
 	order         []*server // in order of first listing
 	readers       side
 	writers       side // and servers that do both
+	unindexed     bool // lists were told that readers and writers do not show
+	indexedAt     time.Duration
 	table         map[tableKey][]holding
 	requests      map[string]*request
 	bySeq         map[uint64]*request
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -87,9 +87,14 @@
 }
 
 // warmLoad is what the warm servers of a kind served lately, and weigh.
-type warmLoad struct{ served, weight float64 }
+type warmLoad struct {
+	served, weight float64
+	count          int
+	mixed          bool
+}
 
-// sumEvery is how long the sums over a side are good for, for each of its servers. So a decision costs the same in a fleet of any size.
+// sumEvery is how long what was made of all servers is good for, for each of them. So neither a decision nor a list costs more in a larger
+// fleet, and in one of a hundred servers nothing is older than a millisecond.
 const sumEvery = 10 * time.Microsecond
 
 // loadOf gives the sums over a side.
@@ -104,6 +109,8 @@
 			w := d.load.warm[s.Kind]
 			w.served += s.rate.add(l.now, 0, rateMemory)
 			w.weight += s.Weight
+			w.count++
+			w.mixed = s.role == Mixed
 			d.load.warm[s.Kind] = w
 		}
 	}
@@ -112,18 +119,12 @@
 
 // rememberBorne notes what the warm servers of each kind bear, before a list takes them away.
 func (l *Router) rememberBorne() {
-	served, weight, count := map[string]float64{}, map[string]float64{}, map[string]int{}
-	for _, s := range l.order {
-		if s.listed && !l.cold(s) && s.role != Mixed { // what those get depends on the others
-			served[s.Kind] += s.rate.add(l.now, 0, rateMemory)
-			weight[s.Kind] += s.Weight
-			count[s.Kind]++
-		}
-	}
-	for kind := range weight {
-		if count[kind] < 2 {
-			continue // the load of a single one tells too little
+	for _, readers := range []bool{true, false} {
+		for kind, warm := range l.loadOf(l.side(readers)).warm {
+			if warm.count < 2 || warm.mixed { // the load of a single one tells too little, and what a mixed one gets depends on the others
+				continue
+			}
+			l.borne[kind] = warm.served / warm.weight / rateMemory.Seconds()
 		}
-		l.borne[kind] = served[kind] / weight[kind] / rateMemory.Seconds()
 	}
 }
