--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -40,9 +40,10 @@
 	asked []Asked
 	next  int
 
-	classes func() []class
-	open    sync.WaitGroup
-	stop    chan struct{}
+	classes  func() []class
+	sessions int // that requests belong to
+	open     sync.WaitGroup
+	stop     chan struct{}
 }
 
 // clientConn is a connection that its client keeps.
@@ -134,13 +135,14 @@
 }
 
 const (
-	slowClients = 0.05 // part of the clients that pause in the middle of a request
-	leaves      = 0.06 // that leave before the answer
-	opensAhead  = 0.15 // that open a connection some time before their request
-	restsMost   = 3500 * time.Millisecond
-	repeats     = 2 // tries of a client that is refused
-	answerLate  = 500 * time.Millisecond
-	waitsLonger = time.Second // so that an answer that comes too late is seen
+	usualSessions = 50
+	slowClients   = 0.05 // part of the clients that pause in the middle of a request
+	leaves        = 0.06 // that leave before the answer
+	opensAhead    = 0.15 // that open a connection some time before their request
+	restsMost     = 3500 * time.Millisecond
+	repeats       = 2 // tries of a client that is refused
+	answerLate    = 500 * time.Millisecond
+	waitsLonger   = time.Second // so that an answer that comes too late is seen
 )
 
 // ask makes one request, and repeats it where that is allowed: on a connection that ended between requests, and after a refusal.
@@ -182,7 +184,7 @@
 	a = Asked{ID: g.all.id(), Class: class.Name, Who: g.d.name, New: c.served == 0 && !c.rested, Patience: patience}
 	body := `{"stream":true}`
 	text := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Object: %016x\r\n"+
-		"X-Expires-In: %dm\r\nX-Props: prompt_len=%d,max_out=40\r\nContent-Length: %d\r\n\r\n%s", a.ID, class.Name, int(g.float()*50),
+		"X-Expires-In: %dm\r\nX-Props: prompt_len=%d,max_out=40\r\nContent-Length: %d\r\n\r\n%s", a.ID, class.Name, int(g.float()*float64(g.all.sessions)),
 		patience.Milliseconds(), 100+int(g.float()*2000), len(body), body)
 	cut := len(text)
 	if g.float() < slowClients {
--- a/internal/soak/large.go
+++ b/internal/soak/large.go
@@ -18,6 +18,8 @@
 	Seed     uint64
 	Replicas int
 	Rate     float64 // requests a second
+	Sessions int     // that the requests belong to
+	Sockets  int     // the dispatcher's limit
 	Quiet    bool
 	Length   time.Duration // of the traffic; LargeLength at least, unless it is quiet
 }
@@ -33,7 +35,6 @@
 
 const (
 	largeZones     = 3
-	largeSockets   = 1024
 	largeCell      = 6 // replicas in one
 	replaceFrom    = 3 * time.Second
 	replaceSteps   = 8
@@ -65,7 +66,7 @@
 func RunLarge(ctx context.Context, s LargeScenario, p Program, folder string) (Record, Costs, error) {
 	classes := []class{{"enquiry", "idempotent", 4 * time.Second}, {"instruction", "at_most_once", 6 * time.Second}, {"change", "deduplicated", 4 * time.Second}}
 	r := &largeRun{scenario: s, run: run{p: p, folder: folder, classes: classes,
-		s: Scenario{Seed: s.Seed, Dispatchers: 1, Rate: s.Rate, Sockets: largeSockets, Classes: classes, Length: s.Length}}}
+		s: Scenario{Seed: s.Seed, Dispatchers: 1, Rate: s.Rate, Sockets: s.Sockets, Classes: classes, Length: s.Length}}}
 	r.rec = Record{Scenario: r.s, Lives: map[string][]*Life{}, Logs: map[string]string{}, Disturbed: map[string][]Span{}, Crowds: map[string]bool{}}
 	defer r.close()
 	if err := r.start(); err != nil {
@@ -135,7 +136,7 @@
 	for _, n := range r.serving {
 		r.entries = append(r.entries, n.entry)
 	}
-	r.clients = &clients{stop: make(chan struct{}), classes: func() []class { return r.classes }}
+	r.clients = &clients{sessions: r.scenario.Sessions, stop: make(chan struct{}), classes: func() []class { return r.classes }}
 	d, err := newDispatcher(r.folder, 0, r.addr(), r.entries)
 	if err != nil {
 		return err
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -182,7 +182,7 @@
 	if err := within(5*time.Second, func() bool { return r.reg.up() == len(r.nodes) }); err != nil {
 		return fmt.Errorf("replicas: %w", err)
 	}
-	r.clients = &clients{stop: make(chan struct{}), classes: func() []class { r.mu.Lock(); defer r.mu.Unlock(); return r.classes }}
+	r.clients = &clients{sessions: usualSessions, stop: make(chan struct{}), classes: func() []class { r.mu.Lock(); defer r.mu.Unlock(); return r.classes }}
 	for i := range r.s.Dispatchers {
 		d, err := newDispatcher(r.folder, i, r.addr(), r.entries)
 		if err != nil {
