Judge what a dispatcher held that ended by itself, and end soaks while clients go on

The soak's judge excused whatever a dispatcher held that had ended, also one that ended by itself and owed its release before, and printed a state that nobody let go of as held for an hour. Only SIGKILL excuses now, if it came before the state's time, and the text names the run's end.

--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -21,10 +21,13 @@
 	Told    time.Time // when the first SIGTERM was sent; zero: never
 	Killed  time.Time // when SIGKILL was sent; zero: never
 	Gone    time.Time // when the process had ended
-	Code    int       // its exit code; -1 after a signal
+	Code    int       // its exit code; killedCode after a signal
 	Held    []Span    // when it was stopped
 }
 
+// killedCode stands for the exit code of a process that a signal ended.
+const killedCode = -1
+
 // Span is a time between two moments; a zero end has not come.
 type Span struct{ From, To time.Time }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -147,9 +147,7 @@
 	d, g := r.fleet[i], r.groups[i]
 	switch f.Kind {
 	case terminate:
-		series := [][]syscall.Signal{{syscall.SIGTERM}, {syscall.SIGTERM, syscall.SIGTERM}, {syscall.SIGHUP, syscall.SIGTERM},
-			{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM}, {syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP}}
-		r.terminate(d, series[f.Target/len(r.fleet)%len(series)], time.Duration(f.Size*float64(200*time.Millisecond)))
+		r.terminate(d, series(f.Target/len(r.fleet)), time.Duration(f.Size*float64(seriesPause)))
 		time.Sleep(f.Span)
 		r.restart(d)
 	case kill:
@@ -171,9 +169,7 @@
 		time.Sleep(f.Span)
 		d.agent.Overload(false)
 	case crowd:
-		r.mu.Lock()
-		r.rec.Crowds[d.name] = true
-		r.mu.Unlock()
+		r.crowds(d)
 		r.clients.open.Add(1)
 		g.crowd(r.s.Sockets, time.After(f.Span))
 	case halfSent:
@@ -181,6 +177,16 @@
 	}
 }
 
+// seriesPause is the longest pause between the signals of a series.
+const seriesPause = 200 * time.Millisecond
+
+// series gives the nth series of signals that end a dispatcher.
+func series(n int) []syscall.Signal {
+	all := [][]syscall.Signal{{syscall.SIGTERM}, {syscall.SIGTERM, syscall.SIGTERM}, {syscall.SIGHUP, syscall.SIGTERM},
+		{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM}, {syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP}}
+	return all[n%len(all)]
+}
+
 // heldUpMost is the longest that a dispatcher may be held up.
 const heldUpMost = 150 * time.Millisecond
 
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -215,10 +215,13 @@
 		if !holding || since.IsZero() {
 			return
 		}
+		if j.killed(a, since, n.At) {
+			return
+		}
 		span := n.At.Sub(since)
 		j.figures.Longest = max(j.figures.Longest, span)
-		if span > letGoBy+heldSlack+heldUpMost+j.slack && !j.gone(a, since, n.At) {
-			j.find(RuleHeld, "%s %s at %s: a state was held from %s to %s (%s at %s)", a.ID, a.Class, a.Who, j.at(since), j.at(n.At), n.Kind, n.Replica)
+		if span > letGoBy+heldSlack+heldUpMost+j.slack {
+			j.find(RuleHeld, "%s %s at %s: a state was held from %s to %s (%s%s)", a.ID, a.Class, a.Who, j.at(since), j.at(n.At), n.Kind, at(n.Replica))
 		}
 	}
 	for _, n := range j.notes[a.ID] {
@@ -250,17 +253,34 @@
 		}
 	}
 	if holding && !since.IsZero() && total == 0 {
-		check(Note{At: j.Began.Add(j.Scenario.Length).Add(time.Hour), Kind: "to the end"})
+		check(Note{At: j.ended(), Kind: "never let go"})
+	}
+}
+
+// at names the replica of a note that has one.
+func at(replica string) string {
+	if replica == "" {
+		return ""
 	}
+	return " at " + replica
 }
 
-// gone tells whether a request's dispatcher had ended by a time, so that nobody was there to let go.
-func (j *judge) gone(a *Asked, since, by time.Time) bool {
+// ended is when the run's last look at what is held was taken.
+func (j *judge) ended() time.Time {
+	if !j.Ended.IsZero() {
+		return j.Ended
+	}
+	return j.Began.Add(j.Scenario.Length)
+}
+
+// killed tells whether a request's dispatcher had been killed by the time at which it had to let go of a state, so that nobody was there. One
+// that ended by itself owed it before.
+func (j *judge) killed(a *Asked, since, by time.Time) bool {
 	l := j.lifeAt(a.Who, a.Sent)
-	if l == nil || l.Gone.IsZero() {
-		return l == nil
+	if l == nil || l.Killed.IsZero() || l.Code != killedCode {
+		return false
 	}
-	return l.Gone.Before(since.Add(letGoBy+heldSlack)) && l.Gone.Before(by)
+	return l.Killed.Before(since.Add(letGoBy+heldSlack)) && l.Gone.Before(by)
 }
 
 // repeated judges what must not run twice.
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -63,6 +63,37 @@
 	}
 }
 
+// A state that nobody lets go of is excused where SIGKILL ended its dispatcher before its time, and only there. The text tells that it was
+// never let go of, and no time that was not seen.
+func TestOnlySIGKILLExcusesWhatIsHeld(t *testing.T) {
+	read := []Note{{At: ms(1), Replica: "r0", Kind: Taken}, {At: ms(100), Replica: "r0", Kind: ReadDone}, {At: ms(100), Replica: "r0", Kind: Ended}}
+	for name, c := range map[string]struct {
+		end  func(l *Life)
+		kept bool
+	}{
+		"ended by itself":                {func(l *Life) {}, false},
+		"killed":                         {func(l *Life) { l.Killed, l.Code = l.Gone, killedCode }, true},
+		"killed after it had let go":     {func(l *Life) { l.Killed, l.Code, l.Gone = l.Gone.Add(time.Second), killedCode, l.Gone.Add(time.Second) }, false},
+		"ended by itself as it was shot": {func(l *Life) { l.Killed = l.Gone }, false},
+	} {
+		rec := story(Asked{Status: 502, First: ms(150), Done: ms(150)}, append([]Note{}, read...)...)
+		rec.Ended = rec.Began.Add(12 * time.Second)
+		l := rec.Lives["n0"][0]
+		l.Told, l.Gone = rec.Began.Add(120*time.Millisecond), rec.Began.Add(300*time.Millisecond)
+		c.end(l)
+		findings, f := Judge(rec)
+		if kept := len(findings) == 0; kept != c.kept {
+			t.Errorf("%s: found %v", name, findings)
+		}
+		if f.Longest > 12*time.Second {
+			t.Errorf("%s: held for %v in a run of 12 s", name, f.Longest)
+		}
+		if !c.kept && len(findings) > 0 && !strings.Contains(findings[0].Text, "to 12.000 (never let go)") {
+			t.Errorf("%s: %s", name, findings[0].Text)
+		}
+	}
+}
+
 // How dispatchers end is judged, and what they say of themselves.
 func TestJudgeFindsCrashes(t *testing.T) {
 	for name, change := range map[string]func(r *Record, l *Life){
--- a/internal/soak/large.go
+++ b/internal/soak/large.go
@@ -89,11 +89,9 @@
 	case <-time.After(r.s.Length):
 	}
 	r.busy.Wait()
-	close(r.clients.stop)
-	r.clients.open.Wait()
-	time.Sleep(letGoBy + heldSlack + 500*time.Millisecond) // for what is still held
 	costs := r.costs()
 	r.endAll()
+	r.awaitClients()
 	close(metered)
 	r.rec.Stall = <-stalled
 	d := r.fleet[0]
@@ -101,10 +99,7 @@
 		costs.CPU = d.cmd.ProcessState.UserTime() + d.cmd.ProcessState.SystemTime()
 		costs.PeakMemory = int(usage.Maxrss) << 10
 	}
-	text, err := os.ReadFile(d.log)
-	r.rec.Notes, r.rec.Asked = r.reg.close(), r.clients.asked
-	r.rec.Lives[d.name], r.rec.Logs[d.name] = d.lives, string(text)
-	return r.rec, costs, err
+	return r.rec, costs, r.collect()
 }
 
 // costs gives what can be told while the dispatcher runs.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -29,6 +29,7 @@
 type Record struct {
 	Scenario  Scenario
 	Began     time.Time
+	Ended     time.Time // when what was held was looked at for the last time
 	Asked     []Asked
 	Notes     []Note
 	Lives     map[string][]*Life // by dispatcher
@@ -98,22 +99,36 @@
 	}
 	time.Sleep(time.Until(r.rec.Began.Add(s.Length)))
 	r.busy.Wait()
-	close(r.clients.stop)
-	r.clients.open.Wait()
-	time.Sleep(letGoBy + heldSlack + 500*time.Millisecond) // for what is still held
 	r.endAll()
+	r.awaitClients()
 	close(metered)
 	r.rec.Stall = <-stalled
+	return r.rec, r.collect()
+}
+
+// heldLook is for how long after the last request what is held is looked at: a state that is held for too long shows by then.
+const heldLook = letGoBy + heldSlack + heldUpMost + 500*time.Millisecond
+
+// awaitClients ends the clients, and returns when what is held has had its time.
+func (r *run) awaitClients() {
+	close(r.clients.stop)
+	r.clients.open.Wait()
+	time.Sleep(heldLook)
+}
+
+// collect puts into the record what was seen.
+func (r *run) collect() error {
+	r.rec.Ended = time.Now()
 	r.rec.Notes = r.reg.close()
 	r.rec.Asked = r.clients.asked
 	for _, d := range r.fleet {
 		text, err := os.ReadFile(d.log)
 		if err != nil {
-			return r.rec, err
+			return err
 		}
 		r.rec.Lives[d.name], r.rec.Logs[d.name] = d.lives, string(text)
 	}
-	return r.rec, nil
+	return nil
 }
 
 // meter finds the longest time for which this process was held up.
@@ -241,15 +256,36 @@
 	return n.cmd.Start()
 }
 
-// endAll ends the dispatchers, as at a planned restart.
+// endAll ends the dispatchers, as at a planned restart: with signals in series, while clients go on with the connections that are open, in
+// some runs beside a crowd that fills the descriptors.
 func (r *run) endAll() {
+	over := make(chan time.Time)
+	defer close(over)
+	if r.s.Ending.Crowd {
+		for i, g := range r.groups {
+			r.crowds(r.fleet[i])
+			r.clients.open.Add(1)
+			go g.crowd(r.s.Sockets, over)
+		}
+		time.Sleep(crowdGathers)
+	}
 	var ended sync.WaitGroup
 	for _, d := range r.fleet {
-		ended.Go(func() { r.terminate(d, []syscall.Signal{syscall.SIGTERM}, 0) })
+		ended.Go(func() { r.terminate(d, series(r.s.Ending.Series), r.s.Ending.Pause) })
 	}
 	ended.Wait()
 }
 
+// crowdGathers is how long a crowd has to connect.
+const crowdGathers = 200 * time.Millisecond
+
+// crowds books that a dispatcher has a crowd.
+func (r *run) crowds(d *dispatcher) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rec.Crowds[d.name] = true
+}
+
 func (r *run) close() {
 	for _, d := range r.fleet {
 		d.signal(syscall.SIGKILL)
@@ -280,5 +316,6 @@
 	for _, f := range s.Faults {
 		fmt.Fprintln(&all, f)
 	}
+	fmt.Fprintf(&all, "in the end %v, %.3f s apart, crowd %v\n", series(s.Ending.Series), s.Ending.Pause.Seconds(), s.Ending.Crowd)
 	return all.String()
 }
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -17,6 +17,14 @@
 	Classes     []class
 	Length      time.Duration
 	Faults      []fault // in their order
+	Ending      ending
+}
+
+// ending is how all dispatchers are ended after the traffic's time, while clients go on with open connections.
+type ending struct {
+	Series int // of signals
+	Pause  time.Duration
+	Crowd  bool
 }
 
 // fault is one thing that goes wrong at a time.
@@ -78,9 +86,13 @@
 		s.Faults = append(s.Faults, f)
 		at += time.Duration(draw.Float64() * float64(800*time.Millisecond)) // spans are longer: faults overlap
 	}
+	s.Ending = ending{Series: draw.IntN(1 << 16), Pause: time.Duration(draw.Float64() * float64(seriesPause)), Crowd: draw.Float64() < crowdedEndings}
 	return s
 }
 
+// crowdedEndings is the part of the runs that end beside a crowd.
+const crowdedEndings = 0.25
+
 // longest is the longest deadline of the classes.
 func (s Scenario) longest() (d time.Duration) {
 	for _, c := range s.Classes {
