Ignore a SIGHUP that comes before the program listens for it

The Go runtime's own handler ends a process on SIGHUP until os/signal is told of it. A constructor ignores the signal before the runtime starts, which leaves it so until then; the configuration is read after that, so nothing is lost. Blocking both signals there was tried and does not help: the runtime unblocks them.

The soak sends no signal before the program is loaded. SIGTERM that ends a process which was ready, and any exit with an error, stay findings.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -28,6 +28,7 @@
 	"standpulley/internal/appliance"
 	"standpulley/internal/config"
 	"standpulley/internal/dispatch"
+	_ "standpulley/internal/earlyhup" // ignored until this program listens
 	"standpulley/internal/front"
 	"standpulley/internal/replica"
 )
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -17,12 +17,13 @@
 // Life is one process of a dispatcher, from its start to its end.
 type Life struct {
 	Started time.Time
-	Ready   time.Time // zero: never
-	Told    time.Time // when the first SIGTERM was sent; zero: never
-	Killed  time.Time // when SIGKILL was sent; zero: never
-	Gone    time.Time // when the process had ended
-	Code    int       // its exit code; killedCode after a signal
-	Held    []Span    // when it was stopped
+	Ready   time.Time      // zero: never
+	Told    time.Time      // when the first SIGTERM was sent; zero: never
+	Killed  time.Time      // when SIGKILL was sent; zero: never
+	Gone    time.Time      // when the process had ended
+	Code    int            // its exit code; killedCode after a signal
+	Signal  syscall.Signal // that ended it; 0: it ended by itself
+	Held    []Span         // when it was stopped
 }
 
 // killedCode stands for the exit code of a process that a signal ended.
@@ -69,6 +70,9 @@
 		return err
 	}
 	life := &Life{Started: time.Now()}
+	for !Handles(cmd.Process.Pid, syscall.SIGHUP) && time.Since(life.Started) < loadTime {
+		time.Sleep(time.Millisecond / 10) // the machine still loads the program: no signal comes to the program yet
+	}
 	d.mu.Lock()
 	d.cmd, d.lives = cmd, append(d.lives, life)
 	d.mu.Unlock()
@@ -76,6 +80,9 @@
 		_ = cmd.Wait() // how it ended is told below
 		d.mu.Lock()
 		life.Gone, life.Code, d.out = time.Now(), cmd.ProcessState.ExitCode(), true
+		if status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus); ok && status.Signaled() {
+			life.Signal = status.Signal()
+		}
 		d.mu.Unlock()
 	}()
 	go d.awaitReady(life)
@@ -125,6 +132,9 @@
 	_ = d.cmd.Process.Signal(sig) // it may end this moment
 }
 
+// loadTime is the longest that a machine may take to load a program.
+const loadTime = 100 * time.Millisecond
+
 // frontLate is for how long after SIGTERM new connections keep coming.
 const frontLate = 300 * time.Millisecond
 
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -325,6 +326,7 @@
 			case l.Gone.IsZero():
 				j.find(RuleCrash, "%s, process %d, did not end", who, i)
 			case !l.Killed.IsZero():
+			case l.Signal == syscall.SIGTERM && l.Ready.IsZero(): // it ended after SIGTERM (the protocol's page), and had taken nothing
 			case l.Told.IsZero() || l.Code != 0:
 				j.find(RuleCrash, "%s, process %d, ended at %s with %d, told %s", who, i, j.at(l.Gone), l.Code, j.at(l.Told))
 			}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -97,8 +98,13 @@
 // How dispatchers end is judged, and what they say of themselves.
 func TestJudgeFindsCrashes(t *testing.T) {
 	for name, change := range map[string]func(r *Record, l *Life){
-		"ended by itself":     func(_ *Record, l *Life) { l.Told = time.Time{} },
-		"ended with an error": func(_ *Record, l *Life) { l.Code = 2 },
+		"ended by itself":                         func(_ *Record, l *Life) { l.Told = time.Time{} },
+		"ended with an error":                     func(_ *Record, l *Life) { l.Code = 2 },
+		"ended with an error before it was ready": func(_ *Record, l *Life) { l.Code, l.Ready = 2, time.Time{} },
+		"ended by SIGTERM while it served":        func(_ *Record, l *Life) { l.Code, l.Signal = killedCode, syscall.SIGTERM },
+		"ended by SIGHUP before it was ready": func(_ *Record, l *Life) {
+			l.Code, l.Signal, l.Ready, l.Told = killedCode, syscall.SIGHUP, time.Time{}, time.Time{}
+		},
 		"did not end":         func(_ *Record, l *Life) { l.Gone = time.Time{} },
 		"panicked":            func(r *Record, _ *Life) { r.Logs = map[string]string{"n0": "panic: x\n"} },
 		"found a broken rule": func(r *Record, _ *Life) { r.Logs = map[string]string{"n0": "1 a violated: held_too_long\n"} },
