Use connections to writers again in large fleets

With a draw of writers a request seldom came to one to which a connection led, and a writer of which a start was known counted behind all of which nothing was. In fleets of more than 256 writers the 32 that answered last are weighed too, others count as a tenth of their memory fuller, and where no start was seen lately the usual one is presumed. Smaller fleets choose as before.

The share served leaves out requests that crossed the end of their connection, since clients go on while dispatchers end.

--- a/cmd/proving/scale.go
+++ b/cmd/proving/scale.go
@@ -106,7 +106,7 @@
 			return costs, 0, 0, err
 		}
 	}
-	return costs, float64(f.Served) / float64(max(f.Asked-f.Left, 1)), len(findings), nil
+	return costs, float64(f.Served) / float64(max(f.Asked-f.Left-f.Crossed, 1)), len(findings), nil
 }
 
 // printFindings prints how often each rule was broken, and the first cases.
--- a/internal/soak/large.go
+++ b/internal/soak/large.go
@@ -12,7 +12,7 @@
 	"standpulley/internal/standin"
 )
 
-// LargeScenario is one dispatcher before many replicas of three zones. Unless it is quiet, six in ten replicas are replaced within 7 s, and
+// LargeScenario is one dispatcher before many replicas of three zones, each of one cell. Unless it is quiet, six in ten replicas are replaced within 7 s, and
 // then a zone is silent for 5 s.
 type LargeScenario struct {
 	Seed     uint64
@@ -35,7 +35,6 @@
 
 const (
 	largeZones     = 3
-	largeCell      = 6 // replicas in one
 	replaceFrom    = 3 * time.Second
 	replaceSteps   = 8
 	replaceStep    = 850 * time.Millisecond
@@ -160,7 +159,7 @@
 	if number/largeZones%2 == 1 {
 		e.Kind = "writer"
 	}
-	e.Cell = int64(number/(largeZones*largeCell)*largeZones + number%largeZones)
+	e.Cell = int64(number % largeZones)
 	if before != nil {
 		e.Zone, e.Kind, e.Cell, e.StartedMS = before.entry.Zone, before.entry.Kind, before.entry.Cell, time.Now().UnixMilli()
 	}
--- a/logic/choices.go
+++ b/logic/choices.go
@@ -10,10 +10,12 @@
 // nearly as good as the best of all (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing").
 
 const (
-	allWeighed = 256  // servers of a side, up to which all are weighed
-	drawn      = 64   // servers that are drawn of more
-	drawnNear  = 32   // and so many each of the cell and of the zone of a read state
-	drawStride = 7919 // a prime above the size of any fleet: steps of it come to each server once, and to all zones in turn
+	allWeighed    = 256  // servers of a side, up to which all are weighed
+	drawn         = 48   // servers that are drawn of more
+	drawnNear     = 16   // and so many each of the cell and of the zone of a read state
+	recentMost    = 32   // writers that answered last, which are weighed too: connections to them are open
+	newConnection = 0.1  // share of its memory that a writer counts as fuller by if it takes a new connection
+	drawStride    = 7919 // a prime above the size of any fleet: steps of it come to each server once, and to all zones in turn
 )
 
 // side is what takes one of the two stages of a request: the readers, or all others.
@@ -22,6 +24,7 @@
 	cells   map[int64][]*server
 	zones   map[string][]*server
 	load    sideLoad
+	recent  []*server // that answered last, each once, the latest last
 }
 
 // sideOf gives the side of a server.
@@ -61,7 +64,28 @@
 
 // cleared gives an empty side that uses the memory again.
 func (d *side) cleared() side {
-	return side{servers: d.servers[:0], cells: map[int64][]*server{}, zones: map[string][]*server{}}
+	return side{recent: d.recent, servers: d.servers[:0], cells: map[int64][]*server{}, zones: map[string][]*server{}}
+}
+
+// noteRecent notes that a server has answered.
+func (d *side) noteRecent(s *server) {
+	if s.recent {
+		return
+	}
+	if len(d.recent) == recentMost {
+		d.recent[0].recent = false
+		d.recent = append(d.recent[:0], d.recent[1:]...)
+	}
+	s.recent = true
+	d.recent = append(d.recent, s)
+}
+
+// connectPrice is what a writer counts as fuller by in a large fleet, most of which no connection leads to, if it has not answered lately.
+func (l *Router) connectPrice(s *server) float64 {
+	if s.recent || len(l.writers.servers) <= allWeighed {
+		return 0
+	}
+	return newConnection
 }
 
 // choices are the servers among which one is chosen for a request.
@@ -104,6 +128,9 @@
 		return choices{servers: servers, count: len(servers)}
 	}
 	some := l.readyOf(r, side.servers, drawn)
+	if !readers {
+		some = l.join(some, l.readyOf(r, side.recent, len(side.recent)))
+	}
 	if !readers && r.state != nil {
 		some = l.join(some, l.readyOf(r, side.cells[r.state.Cell], drawnNear))
 		some = l.join(some, l.readyOf(r, side.zones[r.state.Zone], drawnNear))
--- a/logic/choices_test.go
+++ b/logic/choices_test.go
@@ -178,3 +178,36 @@
 		t.Error("a server that came with a list is not found")
 	}
 }
+
+// In a large fleet writers to which connections lead are used again where they are as free as others, and no longer than that.
+func TestWritersThatAnsweredLatelyComeFirstInALargeFleet(t *testing.T) {
+	l := benchFleet(t, largeFleet, 0)
+	for i, s := range l.order { // three cells, each of many writers
+		s.Cell = int64(i / 2 % 3)
+	}
+	l.index()
+	l.weighPlaces()
+	used, now := map[string]int{}, time.Hour
+	const requests = 2000
+	for i := range requests {
+		now += ms(30)
+		id := fmt.Sprint("q", i)
+		read := find(l.Handle(now, arrival(id, uint64(i)+1, 0), nil), Send)
+		acts := l.Handle(now+ms(5), &Event{Kind: Ended, RequestID: id, Server: read.Server, Outcome: ReadDone, Took: ms(5), Tokens: 0}, nil)
+		write := find(acts, Send)
+		used[write.Server]++
+		l.Handle(now+ms(6), &Event{Kind: StreamStarted, RequestID: id, Server: write.Server, Attempt: 1, Took: ms(1)}, nil)
+		l.Handle(now+ms(20), &Event{Kind: Ended, RequestID: id, Server: write.Server, Attempt: 1, Outcome: Delivered, Over: true}, nil)
+	}
+	if len(used) > requests/4 {
+		t.Errorf("%d writers for %d requests, one after the other", len(used), requests)
+	}
+	full := l.writers.recent[0]
+	full.held, full.writes = 0.5*full.memory, 1000
+	r := &request{seq: 1, class: l.classes["c"], state: l.readers.servers[0]}
+	for r.seq = range uint64(100) {
+		if l.chooseWriter(r) == full {
+			t.Fatal("a writer that is fuller than others comes first")
+		}
+	}
+}
--- a/logic/health.go
+++ b/logic/health.go
@@ -53,6 +53,7 @@
 	s.heard, s.fails, s.errors, s.passed = l.now, 0, 0, max(s.passed, r.sentAt)
 	s.rate.add(l.now, 1, rateMemory)
 	delete(s.lanes, laneOf(r))
+	l.sideOf(s).noteRecent(s)
 }
 
 // erring is the share of attempts that lately ended with an error at a server. Some err now and then for long, and
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -37,6 +37,7 @@
 	writes       int
 	crowd        float64 // readers for each writer in its cell or zone, beside the whole fleet's
 	zoneCrowd    float64
+	recent       bool    // among those of its side that answered last
 	homeWeight   float64 // how readily a reader is a home
 	start        float64 // seconds to the first token, and when it was seen
 	startAt      time.Duration
--- a/logic/request.go
+++ b/logic/request.go
@@ -122,6 +122,7 @@
 	s, took := r.at, ev.Took.Seconds()
 	s.waiting = without(s.waiting, r)
 	l.accepted(r, s)
+	l.usualStart += usualShare * (took - l.usualStart)
 	if s.startAt > 0 {
 		took = s.start + 0.3*(took-s.start)
 	}
--- a/logic/router.go
+++ b/logic/router.go
@@ -58,6 +58,7 @@
 	memory        float64
 	usualRead     float64 // seconds that reads lately took
 	readDeviation float64 // of that, on average
+	usualStart    float64 // seconds from a send to a writer to the first token lately
 	extra         float64 // seconds that they waited beyond what was known here, last at extraAt
 	extraAt       time.Duration
 }
--- a/logic/writer.go
+++ b/logic/writer.go
@@ -35,6 +35,20 @@
 	return wait
 }
 
+// expectedStart is startWait, and in a large fleet, of which few have been heard of lately, the usual one where nothing is known: else those
+// that are known would always come last.
+func (l *Router) expectedStart(s *server) float64 {
+	wait := l.startWait(s)
+	if len(l.writers.servers) <= allWeighed {
+		return wait
+	}
+	known := 0.0
+	if s.startAt > 0 {
+		known = fade(l.now-s.startAt, queueMemory)
+	}
+	return wait + l.usualStart*(1-known)
+}
+
 // chooseWriter gives a writer near the least load, in the state's cell if it can, else its zone. Near-ties
 // are ranked by seed, or all routers that know as little would pick the same. Where a cell or zone has more
 // than its share of the reading, only its writers' part of the states stays: else they jam and others idle.
@@ -43,7 +57,7 @@
 	least, draw := math.Inf(1), l.seed^mix(r.seq)
 	loads := make([]float64, len(writers))
 	for i, s := range writers {
-		loads[i] = l.load(s) + errorPrice*l.errorRate(s) + tieSpread*unit(draw^s.hash) + nearMargin*l.startWait(s)/l.overdue
+		loads[i] = l.load(s) + errorPrice*l.errorRate(s) + tieSpread*unit(draw^s.hash) + l.connectPrice(s) + nearMargin*l.expectedStart(s)/l.overdue
 		least = min(least, loads[i])
 	}
 	stay := r.state != nil && unit(draw)*r.state.crowd < 1
