Call no release for a request of which nothing came to any replica

The core now knows whether an attempt of a request may have come to a replica, and asks nobody otherwise. The test fails without it.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -28,6 +28,7 @@
 	sent       int
 	out        map[int]*attempt // by number
 	ran        bool             // an attempt that ended may have run
+	reached    bool             // an attempt that ended may have come to its replica
 	held       held             // at the first stage
 	loose      bool             // a read ended without a word on what it left behind
 	unheard    bool             // a read was given up, and goes on if its replica could not hear of that
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -33,6 +33,7 @@
 		out = logic.ServerError // only a reader can say that nothing but a read was done
 	}
 	d.checkEnd(at, out)
+	r.reached = r.reached || out != logic.NotSent && out != logic.ConnectFailed
 	if !neverRan(out) {
 		if at.dropped && at.stream == nil {
 			out = logic.Cancelled
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -119,6 +119,9 @@
 // mayRelease tells whether what is held for an open request may be let go: what a read in progress will leave would go with it.
 func (r *request) mayRelease() bool { return r.held.addr != "" && !r.outAt(logic.Reader) }
 
+// mayHold tells whether a replica may hold something for a request: not where no attempt has come to one.
+func (r *request) mayHold() bool { return r.reached || r.held.addr != "" || r.away() }
+
 // mayForget tells whether nothing is owed of a request any more.
 func (d *Dispatcher) mayForget(r *request) bool {
 	return r.answered && len(r.out) == 0 && !r.held.releasing && d.requests[r.id] == r
--- a/internal/dispatch/release_test.go
+++ b/internal/dispatch/release_test.go
@@ -389,3 +389,26 @@
 	a.addrs = addrs
 	then(true)
 }
+
+// Guards: a request of which nothing came to any replica, as every connection was in use, had its release called for all the same. Those calls
+// took the connections that releases of what was held waited for.
+func TestNothingIsReleasedForARequestThatReachedNoReplica(t *testing.T) {
+	for _, c := range []struct {
+		outcome logic.Outcome
+		release bool
+	}{{logic.NotSent, false}, {logic.ConnectFailed, false}, {logic.ServerError, true}, {logic.TimedOut, true}} {
+		d, rel := core(t, 9)
+		k, p := take(d, "a", "safe")
+		for len(d.requests) > 0 && len(p.sent) < 9 {
+			before := len(p.sent)
+			end(d, p, c.outcome)
+			if len(p.sent) == before { // it waits for another replica
+				d.giveUp(k.r, Answer{Verdict: Refused}, DeadlineOver)
+			}
+		}
+		answerOf(t, k)
+		if released := len(*rel) > 0; released != c.release {
+			t.Errorf("%v: released %v", c.outcome, *rel)
+		}
+	}
+}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -15,9 +15,9 @@
 	}
 	for i := 0; i < len(d.events); i++ {
 		actions := d.router.Handle(d.now(), &d.events[i], d.actions[:0])
-		holders := d.holdersOf(actions)
+		held := d.holdingsOf(actions)
 		for _, a := range actions {
-			d.carryOut(a, holders)
+			d.carryOut(a, held)
 		}
 		d.actions = actions
 	}
@@ -25,25 +25,33 @@
 	d.events = d.events[:0]
 }
 
-// holdersOf gives the addresses at which something may be held for the requests that are to be released. A request may be forgotten by
-// then, as its final answer comes first.
-func (d *Dispatcher) holdersOf(actions []logic.Action) map[string]string {
-	var holders map[string]string
+// holdings are what may be held for the requests that are to be released. A request may be forgotten by the time of its release, as its final
+// answer comes first.
+type holdings map[string]holding
+
+// holding is what is known of one request. The zero value is that of one that is unknown.
+type holding struct {
+	addr    string // of the replica that holds something; empty: not known
+	nothing bool   // no attempt has come to a replica, so nothing is held anywhere
+}
+
+func (d *Dispatcher) holdingsOf(actions []logic.Action) holdings {
+	var all holdings
 	for _, a := range actions {
-		if r := d.requests[a.RequestID]; a.Kind == logic.Release && r != nil && r.held.addr != "" {
-			if holders == nil {
-				holders = map[string]string{}
+		if r := d.requests[a.RequestID]; a.Kind == logic.Release && r != nil {
+			if all == nil {
+				all = holdings{}
 			}
-			holders[a.RequestID] = r.held.addr
+			all[a.RequestID] = holding{r.held.addr, !r.mayHold()}
 		}
 	}
-	return holders
+	return all
 }
 
 // refusedAfter is the advice to a refused client where the module gives none: without any it would come at once.
 const refusedAfter = 100 * time.Millisecond
 
-func (d *Dispatcher) carryOut(a logic.Action, holders map[string]string) {
+func (d *Dispatcher) carryOut(a logic.Action, held holdings) {
 	switch a.Kind {
 	case logic.Wake:
 		d.after(a.After, func() { d.route(logic.Event{Kind: logic.TimerFired, Tag: a.Tag}) })
@@ -54,7 +62,9 @@
 		d.probe(a.Server)
 		return
 	case logic.Release:
-		d.release(a.RequestID, holders[a.RequestID], RequestEnded)
+		if h := held[a.RequestID]; !h.nothing { // a call would take a connection that others need
+			d.release(a.RequestID, h.addr, RequestEnded)
+		}
 		return
 	}
 	r := d.requests[a.RequestID]
