--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -87,9 +87,9 @@
 	return fmt.Sprintf("%.3f", t.Sub(j.Began).Seconds())
 }
 
-// lifeAt gives the process of a dispatcher that ran at a time.
+// lifeAt gives the process of a dispatcher that ran at a time, or had ended a moment before with no other in its place.
 func (j *judge) lifeAt(who string, t time.Time) *Life {
-	for _, l := range j.Lives[who] {
+	for _, l := range slices.Backward(j.Lives[who]) {
 		if !t.Before(l.Started) && (l.Gone.IsZero() || t.Before(l.Gone.Add(time.Second))) {
 			return l
 		}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -95,6 +95,23 @@
 	}
 }
 
+// A request is judged by the process that took it, also where the one before had ended only a moment ago (seeds 530 and 544).
+func TestRequestBelongsToTheProcessThatTookIt(t *testing.T) {
+	rec := story(Asked{New: true, Status: 200, First: ms(20), Done: ms(300), Why: "EOF"}, Note{At: ms(10), Replica: "w0", Kind: Taken})
+	now := rec.Lives["n0"][0]
+	now.Started, now.Ready, now.Told = rec.Began.Add(-50*time.Millisecond), rec.Began.Add(-40*time.Millisecond), rec.Began.Add(200*time.Millisecond)
+	now.Killed, now.Gone, now.Code = rec.Began.Add(300*time.Millisecond), rec.Began.Add(300*time.Millisecond), killedCode
+	before := &Life{Started: rec.Began.Add(-2 * time.Second), Ready: rec.Began.Add(-2 * time.Second), Told: rec.Began.Add(-time.Second), Gone: rec.Began.Add(-500 * time.Millisecond)}
+	rec.Lives["n0"] = []*Life{before, now}
+	if findings, _ := Judge(rec); len(findings) > 0 {
+		t.Errorf("killed under a stream that it took before SIGTERM: %v", findings)
+	}
+	now.Killed, now.Code = time.Time{}, 0
+	if findings, _ := Judge(rec); len(findings) == 0 {
+		t.Error("a stream that was cut by a process that ended by itself: nothing is found")
+	}
+}
+
 // How dispatchers end is judged, and what they say of themselves.
 func TestJudgeFindsCrashes(t *testing.T) {
 	for name, change := range map[string]func(r *Record, l *Life){
