--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -66,7 +66,7 @@
 	// Connections beyond the bound for calls that must not wait behind attempts. They come out of what the process keeps free.
 	freshMost   = 8
 	keptFrom    = 32 // a pool of so many connections keeps one in keptPart of them for such calls
-	keptPart    = 8
+	keptPart    = 32
 	readBuffer  = 8 << 10
 	writeBuffer = 16 << 10
 )
