--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -20,6 +20,8 @@
 	ID       string
 	Class    string
 	Who      string // the dispatcher
+	From     string // the client's address
+	Paused   int    // bytes after which the client made a pause; -1: it made none
 	New      bool   // the first on its connection, which was opened for it
 	Sent     time.Time
 	Patience time.Duration
@@ -181,7 +183,7 @@
 
 // try sends one request and reads its answer.
 func (g *group) try(c *clientConn, class class, patience time.Duration) (a Asked) {
-	a = Asked{ID: g.all.id(), Class: class.Name, Who: g.d.name, New: c.served == 0 && !c.rested, Patience: patience}
+	a = Asked{ID: g.all.id(), Class: class.Name, Who: g.d.name, From: c.c.LocalAddr().String(), Paused: -1, New: c.served == 0 && !c.rested, Patience: patience}
 	body := `{"stream":true}`
 	text := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Object: %016x\r\n"+
 		"X-Expires-In: %dm\r\nX-Props: prompt_len=%d,max_out=40\r\nContent-Length: %d\r\n\r\n%s", a.ID, class.Name, int(g.float()*float64(g.all.sessions)),
@@ -189,6 +191,7 @@
 	cut := len(text)
 	if g.float() < slowClients {
 		cut = int(g.float() * float64(len(text)))
+		a.Paused = cut
 	}
 	_, err := io.WriteString(c.c, text[:cut])
 	if err == nil && cut < len(text) {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -111,8 +111,8 @@
 	f := &j.figures
 	f.Asked++
 	tell := func(form string, args ...any) {
-		j.find(RuleLost, "%s %s at %s, new %v, sent %s, would wait %v, done %s: %s", a.ID, a.Class, a.Who, a.New, j.at(a.Sent), a.Patience, j.at(a.Done),
-			fmt.Sprintf(form, args...))
+		j.find(RuleLost, "%s %s at %s from %s, new %v, paused after %d, sent %s, would wait %v, done %s: %s", a.ID, a.Class, a.Who, a.From, a.New, a.Paused,
+			j.at(a.Sent), a.Patience, j.at(a.Done), fmt.Sprintf(form, args...))
 	}
 	if a.Foreign != "" && a.Left.IsZero() {
 		tell("%s", a.Foreign)
--- a/internal/soak/large.go
+++ b/internal/soak/large.go
@@ -58,7 +58,6 @@
 	scenario LargeScenario
 	replicas []*localReplica // all that there ever were
 	serving  []*localReplica // that are listed in service
-	nextCell int
 }
 
 // RunLarge plays a large scenario in a folder. Files stay there.
--- a/logic/choices_test.go
+++ b/logic/choices_test.go
@@ -110,21 +110,43 @@
 	}
 }
 
+// arrive has a request of a session of its own arrive, and gives its reader.
+func arrive(l *Router, now time.Duration, i int) string {
+	return find(l.Handle(now, arrival(fmt.Sprint("q", i), uint64(i)+1, 0), nil), Send).Server
+}
+
+// endRead ends the read of a request, and gives its writer.
+func endRead(l *Router, now time.Duration, i int, reader string, took time.Duration) string {
+	e := Event{Kind: Ended, RequestID: fmt.Sprint("q", i), Server: reader, Outcome: ReadDone, Took: took}
+	return find(l.Handle(now, &e, nil), Send).Server
+}
+
+func begin(l *Router, now time.Duration, i int, writer string) {
+	l.Handle(now, &Event{Kind: StreamStarted, RequestID: fmt.Sprint("q", i), Server: writer, Attempt: 1, Took: ms(1)}, nil)
+}
+
+func deliver(l *Router, now time.Duration, i int, writer string) {
+	l.Handle(now, &Event{Kind: Ended, RequestID: fmt.Sprint("q", i), Server: writer, Attempt: 1, Outcome: Delivered, Over: true}, nil)
+}
+
 // Requests spread over a large fleet as they come: none is sent many times its share.
 func TestRequestsSpreadOverALargeFleet(t *testing.T) {
 	l := benchFleet(t, largeFleet, 0)
-	count, now := map[string]int{}, time.Hour
-	const requests = 3200
+	const requests, step = 3200, 8
+	const readSteps, streamSteps = 6, 60 // that a read and a stream take
+	count, readers, writers := map[string]int{}, map[int]string{}, map[int]string{}
 	for i := range requests {
-		now += ms(8)
-		id := fmt.Sprint("q", i)
-		read := find(l.Handle(now, arrival(id, uint64(i)+1, 0), nil), Send)
-		count[read.Server]++
-		acts := l.Handle(now+ms(50), &Event{Kind: Ended, RequestID: id, Server: read.Server, Outcome: ReadDone, Took: ms(50), Tokens: 0}, nil)
-		write := find(acts, Send)
-		count[write.Server]++
-		l.Handle(now+ms(60), &Event{Kind: StreamStarted, RequestID: id, Server: write.Server, Attempt: 1, Took: ms(10)}, nil)
-		l.Handle(now+ms(500), &Event{Kind: Ended, RequestID: id, Server: write.Server, Attempt: 1, Outcome: Delivered, Over: true}, nil)
+		now := time.Hour + time.Duration(i)*ms(step)
+		readers[i] = arrive(l, now, i)
+		count[readers[i]]++
+		if n := i - readSteps; n >= 0 {
+			writers[n] = endRead(l, now, n, readers[n], readSteps*ms(step))
+			count[writers[n]]++
+			begin(l, now+ms(1), n, writers[n])
+		}
+		if n := i - readSteps - streamSteps; n >= 0 {
+			deliver(l, now+ms(2), n, writers[n])
+		}
 	}
 	for id, n := range count {
 		if n > 20 { // each takes two
@@ -187,17 +209,14 @@
 	}
 	l.index()
 	l.weighPlaces()
-	used, now := map[string]int{}, time.Hour
+	used := map[string]int{}
 	const requests = 2000
 	for i := range requests {
-		now += ms(30)
-		id := fmt.Sprint("q", i)
-		read := find(l.Handle(now, arrival(id, uint64(i)+1, 0), nil), Send)
-		acts := l.Handle(now+ms(5), &Event{Kind: Ended, RequestID: id, Server: read.Server, Outcome: ReadDone, Took: ms(5), Tokens: 0}, nil)
-		write := find(acts, Send)
-		used[write.Server]++
-		l.Handle(now+ms(6), &Event{Kind: StreamStarted, RequestID: id, Server: write.Server, Attempt: 1, Took: ms(1)}, nil)
-		l.Handle(now+ms(20), &Event{Kind: Ended, RequestID: id, Server: write.Server, Attempt: 1, Outcome: Delivered, Over: true}, nil)
+		now := time.Hour + time.Duration(i)*ms(30)
+		writer := endRead(l, now+ms(5), i, arrive(l, now, i), ms(5))
+		begin(l, now+ms(6), i, writer)
+		deliver(l, now+ms(20), i, writer)
+		used[writer]++
 	}
 	if len(used) > requests/4 {
 		t.Errorf("%d writers for %d requests, one after the other", len(used), requests)
