Leave failed writers alone in a large fleet where all of a cell have failed

Found on reading the change once more: in fleets of more than 256 writers the draws of a cell, of a zone and of those that answered last each fell back on servers in a failure's pause where they held no other, so a request whose cell had failed went there before all others. The pause is passed over only where nothing at all may be sent to. The test fails without it.

--- a/logic/choices.go
+++ b/logic/choices.go
@@ -124,51 +124,65 @@
 	l.refresh()
 	side := l.side(readers)
 	if len(side.servers) <= allWeighed {
-		servers := l.untried(r, l.readyOf(r, side.servers, len(side.servers)))
+		servers := l.untried(r, l.draw(r, side.servers, len(side.servers)).best())
 		return choices{servers: servers, count: len(servers)}
 	}
-	some := l.readyOf(r, side.servers, drawn)
+	some := l.draw(r, side.servers, drawn)
 	if !readers {
-		some = l.join(some, l.readyOf(r, side.recent, len(side.recent)))
+		some.join(l.draw(r, side.recent, len(side.recent)))
 	}
 	if !readers && r.state != nil {
-		some = l.join(some, l.readyOf(r, side.cells[r.state.Cell], drawnNear))
-		some = l.join(some, l.readyOf(r, side.zones[r.state.Zone], drawnNear))
+		some.join(l.draw(r, side.cells[r.state.Cell], drawnNear))
+		some.join(l.draw(r, side.zones[r.state.Zone], drawnNear))
 	}
-	c := choices{servers: l.untried(r, some), count: len(some), all: side.servers}
+	c := choices{servers: l.untried(r, some.best()), all: side.servers}
+	c.count = len(c.servers)
 	if readers { // whose number tells how many homes a text has
 		c.count = l.readyCount(side)
 	}
 	return c
 }
 
-// readyOf draws so many servers that may be sent a request, or all that may where there are fewer.
-func (l *Router) readyOf(r *request, from []*server, most int) []*server {
-	var well, waiting []*server
+// draft is what was drawn of some servers.
+type draft struct{ ready, paused []*server }
+
+// best gives the servers that may be sent a request, or where there is none those in a pause.
+func (d draft) best() []*server {
+	if len(d.ready) == 0 {
+		return d.paused
+	}
+	return d.ready
+}
+
+// join adds what was drawn elsewhere and is not there yet.
+func (d *draft) join(more draft) {
+	d.ready = joined(d.ready, more.ready)
+	d.paused = joined(d.paused, more.paused)
+}
+
+// draw draws so many servers that may be sent a request, or all that may where there are fewer.
+func (l *Router) draw(r *request, from []*server, most int) (d draft) {
 	start, n := 0, len(from)
 	if most < n {
 		start = int(mix(l.seed^r.seq^uint64(r.attempts)<<32) % uint64(n))
 	}
-	for i := 0; i < n && len(well) < most; i++ {
+	for i := 0; i < n && len(d.ready) < most; i++ {
 		s := from[i]
 		if most < n {
 			s = from[(start+i*drawStride)%n]
 		}
 		switch l.readiness(r, s) {
 		case ready:
-			well = append(well, s)
+			d.ready = append(d.ready, s)
 		case paused:
-			waiting = append(waiting, s)
+			d.paused = append(d.paused, s)
 		}
 	}
-	if len(well) == 0 {
-		well = waiting
-	}
-	return well
+	return d
 }
 
-// join adds servers that are not among others yet.
-func (l *Router) join(all, more []*server) []*server {
+// joined adds servers that are not among others yet.
+func joined(all, more []*server) []*server {
 	for _, s := range more {
 		if !slices.Contains(all, s) {
 			all = append(all, s)
--- a/logic/choices_test.go
+++ b/logic/choices_test.go
@@ -80,7 +80,7 @@
 	l := benchFleet(t, largeFleet, 0)
 	seen := map[*server]bool{}
 	for seq := range uint64(1000) {
-		some := l.readyOf(&request{seq: seq, class: l.classes["c"]}, l.readers.servers, drawn)
+		some := l.draw(&request{seq: seq, class: l.classes["c"]}, l.readers.servers, drawn).ready
 		once := map[*server]bool{}
 		for _, s := range some {
 			seen[s], once[s] = true, true
@@ -230,3 +230,19 @@
 		}
 	}
 }
+
+// Guards: where all writers of a state's cell have failed, they are left alone in a large fleet too, as others may be sent to.
+func TestFailedCellIsLeftAloneInALargeFleet(t *testing.T) {
+	l := benchFleet(t, largeFleet, 0)
+	l.now = time.Hour
+	reader := l.readers.servers[0]
+	for _, s := range l.writers.cells[reader.Cell] {
+		l.failed(s)
+	}
+	for seq := range uint64(100) {
+		r := &request{seq: seq, class: l.classes["c"], state: reader}
+		if s := l.chooseWriter(r); s == nil || s.Cell == reader.Cell {
+			t.Fatalf("a request goes to %+v", s)
+		}
+	}
+}
