Answer a client that leaves before its request is taken, and no other request of its id

Found on reading the change once more: since departures go before new requests, one may be taken before its request. It ended an open request with the same id. The test fails without it (the first request's attempt was cancelled).

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -46,6 +46,10 @@
 // never told of: a request beyond the table's bound, and an id that is open already.
 func (d *Dispatcher) admit(r *request) {
 	d.Counts.taken(r)
+	if r.answered { // its client has left meanwhile
+		r.parcel = nil
+		return
+	}
 	for i := range d.set.Classes {
 		if d.set.Classes[i].Name == r.ask.Class {
 			r.class = &d.set.Classes[i]
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -104,6 +104,10 @@
 	if g.r.answered {
 		return
 	}
+	if d.requests[g.r.id] != g.r { // its arrival still waits; another request with this id may be open
+		d.answer(g.r, Answer{Verdict: Left})
+		return
+	}
 	d.giveUp(g.r, Answer{Verdict: Left}, ClientGone)
 }
 
--- a/internal/dispatch/inbox_test.go
+++ b/internal/dispatch/inbox_test.go
@@ -125,3 +125,26 @@
 		}
 	}
 }
+
+// A client that leaves while its request still waits for a core that is behind is answered, nothing of it is sent, and another open request
+// with the same id goes on.
+func TestClientLeavesBeforeItsRequestIsTaken(t *testing.T) {
+	d, _ := core(t, 9)
+	first, p := take(d, "a", "safe")
+	again := &parcel{}
+	second := d.Take(Request{ID: "a", Received: time.Now(), Parcel: again, Ask: logic.Request{Class: "safe", Remaining: 2 * time.Second}})
+	second.Leave()
+	d.turn()
+	if a := answerOf(t, second); a.Verdict != Left {
+		t.Errorf("got %+v", a)
+	}
+	if none(t, first); p.cancelled != 0 || len(again.sent) != 0 {
+		t.Errorf("%d attempts of the first were cancelled, %d of the second sent", p.cancelled, len(again.sent))
+	}
+	end(d, p, logic.ReadDone)
+	p.sent[1].tell.Began(&closer{})
+	drive(d)
+	if a := answerOf(t, first); a.Verdict != Served {
+		t.Errorf("the first got %+v", a)
+	}
+}
