--- a/cmd/proving/scale.go
+++ b/cmd/proving/scale.go
@@ -14,6 +14,7 @@
 type scaleCmd struct {
 	Replicas int           `default:"3200" help:"Replicas of the large fleet."`
 	Usual    int           `default:"200" help:"Replicas of the fleet that it is held against."`
+	Siblings int           `default:"1" help:"Dispatchers that the settings tell of, of which one is played."`
 	Rate     float64       `default:"120" help:"Requests a second."`
 	Sessions int           `default:"2000" help:"Sessions that the requests belong to."`
 	Sockets  int           `default:"1024" help:"The dispatcher's limit of descriptors."`
@@ -88,7 +89,7 @@
 	if err != nil {
 		return costs, 0, 0, err
 	}
-	scenario := soak.LargeScenario{Seed: s.Seed, Replicas: replicas, Rate: s.Rate, Sessions: s.Sessions, Sockets: s.Sockets, Quiet: s.Quiet, Length: s.Length}
+	scenario := soak.LargeScenario{Seed: s.Seed, Replicas: replicas, Siblings: s.Siblings, Rate: s.Rate, Sessions: s.Sessions, Sockets: s.Sockets, Quiet: s.Quiet, Length: s.Length}
 	rec, costs, err := soak.RunLarge(context.Background(), scenario, soak.Program{Dispatcher: binary}, folder)
 	if err != nil {
 		return costs, 0, 0, fmt.Errorf("%d replicas: %w (its files: %s)", replicas, err, folder)
--- a/cmd/standpulley/large_test.go
+++ b/cmd/standpulley/large_test.go
@@ -15,7 +15,7 @@
 // answered, ends of streams not passed on, and what readers held was let go of too late.
 func TestRulesHoldWhileManyReplicasAreReplaced(t *testing.T) {
 	self := soak.Program{Dispatcher: os.Args[0], DispatcherEnv: []string{"STANDPULLEY_AS_PROGRAM=1"}}
-	scenario := soak.LargeScenario{Seed: 1, Replicas: 1600, Rate: 60, Sessions: 2000, Sockets: 1024, Length: soak.LargeLength}
+	scenario := soak.LargeScenario{Seed: 1, Replicas: 1600, Siblings: 1, Rate: 60, Sessions: 2000, Sockets: 1024, Length: soak.LargeLength}
 	rec, costs, err := soak.RunLarge(t.Context(), scenario, self, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/soak/large.go
+++ b/internal/soak/large.go
@@ -12,11 +12,12 @@
 	"standpulley/internal/standin"
 )
 
-// LargeScenario is one dispatcher before many replicas of three zones, each of one cell. Unless it is quiet, six in ten replicas are replaced within 7 s, and
-// then a zone is silent for 5 s.
+// LargeScenario is one dispatcher before many replicas of three zones, each of one cell. Unless it is quiet, six in ten replicas are replaced
+// within 7 s, and then a zone is silent for 5 s.
 type LargeScenario struct {
 	Seed     uint64
 	Replicas int
+	Siblings int     // dispatchers that the settings tell of, of which one is played
 	Rate     float64 // requests a second
 	Sessions int     // that the requests belong to
 	Sockets  int     // the dispatcher's limit
@@ -135,7 +136,7 @@
 		return err
 	}
 	r.fleet = append(r.fleet, d)
-	if err := d.configure(settings(1, r.classes), r.s.Sockets); err != nil {
+	if err := d.configure(settings(r.scenario.Siblings, r.classes), r.s.Sockets); err != nil {
 		return err
 	}
 	if err := d.start(r.program()); err != nil {
--- a/logic/placement.go
+++ b/logic/placement.go
@@ -37,9 +37,11 @@
 		newcomer := func(s *server) bool { return l.inSlowStart(s) && !(s == home && moves) }
 		all := len(readers)
 		readers = slices.DeleteFunc(readers, newcomer)
-		if len(readers) < all || choices.all != nil {
-			choices.count -= (all - len(readers)) * choices.count / max(all, 1)
+		if len(readers) < all {
+			choices.count -= (all - len(readers)) * choices.count / all
 			choices.servers = readers
+		}
+		if choices.all == nil && len(readers) < all || choices.all != nil && anyOf(homes, newcomer) {
 			homes = l.homes(r, choices, l.mayRead(r, newcomer))
 		}
 		if moves || kept != nil {
@@ -89,6 +91,11 @@
 	return best
 }
 
+// anyOf tells whether something holds for any of some ranked servers.
+func anyOf(all []ranked, holds func(*server) bool) bool {
+	return slices.ContainsFunc(all, func(one ranked) bool { return holds(one.at) })
+}
+
 // mayRead tells of readers that are not weighed yet whether a request may be sent to them, but for those that are left out.
 func (l *Router) mayRead(r *request, leftOut func(*server) bool) func(*server) bool {
 	return func(s *server) bool {
