Keep sums over all servers for longer, and rank homes without a closure for each

They are good for 40 us for each server now (64 ms there, 4 ms before a hundred servers, for a memory of 6 s), the ready readers are counted with them, and ranks need no closure that compares zones. Where no server of a large fleet was ready the selection of homes would have gone out of its range: mended with a test, found on the way.

--- a/logic/affinity.go
+++ b/logic/affinity.go
@@ -48,49 +48,48 @@
 	return l.lowest(from.all, l.keyRank(r), sessionRank(r), count, homesWeighed, may)
 }
 
-// ranking is a server's rank for a key in weighted rendezvous hashing, as a draw from 0 to 1 and a weight: the lowest -log(draw)/weight wins.
-type ranking func(s *server) (draw, weight float64)
+// ranking is an order of servers by a key in weighted rendezvous hashing: the lowest -log(draw)/weight wins.
+type ranking struct {
+	key    uint64
+	weight func(s *server) float64
+}
+
+func (k ranking) draw(s *server) float64 { return unit(k.key ^ s.hash) }
 
 // keyRank ranks by what a request begins with. Where the front keeps a session's clients, readers of the own zone come more readily.
 func (l *Router) keyRank(r *request) ranking {
-	key := cmp.Or(r.Prefix, r.Session)
-	return func(s *server) (float64, float64) {
-		weight := s.homeWeight
-		if l.set.CrossZone > 0 && s.Zone == l.set.Zone {
-			weight *= zoneAffinity
-		}
-		return unit(key ^ s.hash), weight
-	}
+	return ranking{cmp.Or(r.Prefix, r.Session), func(s *server) float64 { return s.keyWeight }}
 }
 
 // sessionRank ranks by a request's session.
 func sessionRank(r *request) ranking {
-	return func(s *server) (float64, float64) { return unit(r.Session ^ s.hash), s.homeWeight }
+	return ranking{r.Session, func(s *server) float64 { return s.homeWeight }}
 }
 
 // lowest gives the servers of the lowest rank by one ranking, up to a count, in their order by another, of which no more than most. With may
 // only those count for which it holds.
 func (l *Router) lowest(from []*server, by, then ranking, count, most int, may func(*server) bool) []ranked {
-	best := selection{most: count}
+	best := selection{most: min(count, most)}
+	if best.most <= 0 {
+		return nil
+	}
 	if count > most { // far more than are weighed: those under the rank that so many have, in the other order
-		best = selection{most: most}
 		bound := rankOf(float64(len(from)), float64(count))
 		for _, s := range from {
-			if draw, weight := by(s); weight*bound > 1-draw && -math.Log(draw) < weight*bound {
-				draw, weight = then(s)
-				best.add(s, draw, weight, may)
+			if draw, weight := by.draw(s), by.weight(s); 1-draw < weight*bound && -math.Log(draw) < weight*bound {
+				best.add(s, then.draw(s), then.weight(s), may)
 			}
 		}
 		return best.sorted()
 	}
-	for _, s := range from {
-		draw, weight := by(s)
-		best.add(s, draw, weight, may)
+	for _, s := range from { // as -log(x) is 1-x at least, most are passed over without a logarithm
+		if draw, weight := by.draw(s), by.weight(s); 1-draw < weight*best.bound() {
+			best.add(s, draw, weight, may)
+		}
 	}
 	all := best.sorted()
-	for i := range all {
-		draw, weight := then(all[i].at)
-		all[i].rank = -math.Log(draw) / weight
+	for i, one := range all {
+		all[i].rank = -math.Log(then.draw(one.at)) / then.weight(one.at)
 	}
 	slices.SortStableFunc(all, byRank)
 	return all
@@ -107,14 +106,19 @@
 	all  []ranked // ordered, once there are so many
 }
 
-// add takes a server in if its rank is among the lowest. As -log(x) is 1-x at least, most need no logarithm.
+// bound is the rank under which a server is taken in.
+func (n *selection) bound() float64 {
+	if len(n.all) < n.most {
+		return math.Inf(1)
+	}
+	return n.all[n.most-1].rank
+}
+
+// add takes a server in if its rank is among the lowest.
 func (n *selection) add(s *server, draw, weight float64, may func(*server) bool) {
 	full := len(n.all) == n.most
-	if full && (1-draw)/weight >= n.all[n.most-1].rank {
-		return
-	}
 	rank := -math.Log(draw) / weight
-	if full && rank >= n.all[n.most-1].rank || may != nil && !may(s) {
+	if rank >= n.bound() || may != nil && !may(s) {
 		return
 	}
 	if full {
--- a/logic/choices.go
+++ b/logic/choices.go
@@ -138,7 +138,7 @@
 	c := choices{servers: l.untried(r, some.best()), all: side.servers}
 	c.count = len(c.servers)
 	if readers { // whose number tells how many homes a text has
-		c.count = l.readyCount(side)
+		c.count = l.loadOf(side).ready
 	}
 	return c
 }
@@ -202,15 +202,3 @@
 	}
 	return all
 }
-
-// readyCount counts the readers that are in service and in no failure's pause, and of those in slow start the ones that had credit
-// when they were last looked at.
-func (l *Router) readyCount(d *side) (n int) {
-	little := l.seesLittle()
-	for _, s := range d.servers {
-		if s.fails == 0 && (little || s.coldCredit >= 1 || !l.inSlowStart(s)) {
-			n++
-		}
-	}
-	return n
-}
--- a/logic/choices_test.go
+++ b/logic/choices_test.go
@@ -17,14 +17,15 @@
 // Guards against the incident in large fleets: a decision took 50 ms where six in ten of 3,200 servers were in slow start, as the load of all
 // was summed up anew for each of them. The work for a request grows with the logarithm of the fleet at most; twice that is left for noise.
 func TestDecisionsCostNoMoreInALargeFleet(t *testing.T) {
+	const requests = 250
 	most := 2 * math.Log(largeFleet) / math.Log(usualFleet)
 	for _, coldShare := range []float64{0, 0.6} {
 		least := map[int]time.Duration{}
-		for range 5 {
+		for range 12 { // the least of each is what the machine's other work does not show in
 			for _, n := range []int{usualFleet, largeFleet} {
 				l := benchFleet(t, n, coldShare)
 				began := time.Now()
-				for i := range 400 {
+				for i := range requests {
 					benchRequest(t, l, time.Hour+time.Duration(i)*ms(8), i)
 				}
 				if took := time.Since(began); least[n] == 0 || took < least[n] {
@@ -32,9 +33,11 @@
 				}
 			}
 		}
-		if ratio := float64(least[largeFleet]) / float64(least[usualFleet]); ratio > most {
-			t.Errorf("cold %v: %v for 400 requests before %d servers, %v before %d: %.1f times, allowed are %.1f", coldShare, least[largeFleet],
-				largeFleet, least[usualFleet], usualFleet, ratio, most)
+		ratio := float64(least[largeFleet]) / float64(least[usualFleet])
+		t.Logf("cold %v: %.2f times", coldShare, ratio)
+		if ratio > most {
+			t.Errorf("cold %v: %v for %d requests before %d servers, %v before %d: %.1f times, allowed are %.1f", coldShare, least[largeFleet],
+				requests, largeFleet, least[usualFleet], usualFleet, ratio, most)
 		}
 	}
 }
@@ -246,3 +249,15 @@
 		}
 	}
 }
+
+// Where no server of a large fleet may be sent to, a request waits; it finds no home, and nothing breaks.
+func TestNoReadyServerInALargeFleet(t *testing.T) {
+	l := benchFleet(t, largeFleet, 0)
+	for _, s := range l.order {
+		s.fails, s.backAt, s.waiting = 1, l.now+time.Hour, []*request{{}}
+	}
+	acts := l.Handle(time.Hour+time.Second, arrival("q", 7, 9), nil)
+	if find(acts, Send) != nil || l.requests["q"] == nil || l.requests["q"].phase != parked {
+		t.Errorf("got %+v", acts)
+	}
+}
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -39,6 +39,7 @@
 	zoneCrowd    float64
 	recent       bool    // among those of its side that answered last
 	homeWeight   float64 // how readily a reader is a home
+	keyWeight    float64 // the same for what a request begins with, by zone
 	start        float64 // seconds to the first token, and when it was seen
 	startAt      time.Duration
 	report       Report
@@ -58,7 +59,7 @@
 	for _, e := range ev.Servers {
 		s := l.servers[e.ID]
 		if s == nil {
-			s = &server{heard: -1, coldCreditAt: -1, homeWeight: 1, lanes: map[laneKey]lane{}}
+			s = &server{heard: -1, coldCreditAt: -1, homeWeight: 1, keyWeight: 1, lanes: map[laneKey]lane{}}
 			for i := range e.ID {
 				s.hash = mix(s.hash ^ uint64(e.ID[i]))
 			}
@@ -122,6 +123,10 @@
 			if s.role == Reader && pass == 0 {
 				s.homeWeight = 1 / min(max(s.zoneCrowd, 1), homeWeightMost)
 			}
+			s.keyWeight = s.homeWeight
+			if l.set.CrossZone > 0 && s.Zone == l.set.Zone {
+				s.keyWeight *= zoneAffinity
+			}
 		}
 	}
 }
--- a/logic/slowstart.go
+++ b/logic/slowstart.go
@@ -83,6 +83,7 @@
 	at     time.Duration // when it was summed up
 	summed bool
 	weight float64
+	ready  int // servers in no failure's pause, of those in slow start the ones that had credit when they were last looked at
 	warm   map[string]warmLoad
 }
 
@@ -94,8 +95,8 @@
 }
 
 // sumEvery is how long what was made of all servers is good for, for each of them. So neither a decision nor a list costs more in a larger
-// fleet, and in one of a hundred servers nothing is older than a millisecond.
-const sumEvery = 10 * time.Microsecond
+// fleet, and in one of a hundred servers nothing is older than some milliseconds.
+const sumEvery = 40 * time.Microsecond
 
 // loadOf gives the sums over a side.
 func (l *Router) loadOf(d *side) *sideLoad {
@@ -103,8 +104,12 @@
 		return &d.load
 	}
 	d.load = sideLoad{at: l.now, summed: true, warm: map[string]warmLoad{}}
+	little := d == &l.readers && l.seesLittle()
 	for _, s := range d.servers {
 		d.load.weight += s.Weight
+		if s.fails == 0 && (little || s.coldCredit >= 1 || !l.inSlowStart(s)) {
+			d.load.ready++
+		}
 		if !l.cold(s) {
 			w := d.load.warm[s.Kind]
 			w.served += s.rate.add(l.now, 0, rateMemory)
