--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -388,3 +388,6 @@
 	fmt.Fprintln(os.Stderr, err)
 	os.Exit(2)
 }
+
+// Pid returns the program's process id.
+func (d *Dispatcher) Pid() int { return d.cmd.Process.Pid }
