Review case 3: a stack that still finishes sends to writers that drain

Cause: a finishing stack follows discovery once, to the file that replaced it; a later file that moves discovery does not reach it.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
-# Hundreds of chat requests at once, each a long conversation. TROUBLE=0: the usual clients alone.
+# A broken configuration file comes with a SIGHUP: a class lacks its key_scope. TROUBLE=0: it does not.
 exec "$(dirname "$0")/../case.sh" 2
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
-# A broken configuration file comes with a SIGHUP: a class lacks its key_scope. TROUBLE=0: it does not.
+# Two new configurations in a row, the second moves discovery, and writers drain. TROUBLE=0: no new configuration.
 exec "$(dirname "$0")/../case.sh" 3
--- a/review/cmd/case1/main.go
+++ b/review/cmd/case1/main.go
@@ -1,5 +1,5 @@
-// Command case1: chat clients drop instructions that run, and their library repeats each under the same
-// Idempotency-Key. In between a new configuration comes into force, which adds a class and its model.
+// Command case1: chat clients drop instructions that run, or their connections break, and their library
+// repeats each under the same Idempotency-Key. In between a new configuration comes into force, which adds a class and its model.
 package main
 
 import (
@@ -19,6 +19,7 @@
 
 const (
 	firstToken = 800 * time.Millisecond // from the fetch of the state to the first event
+	resetAfter = 500 * time.Millisecond
 	tokens     = 20
 	tokenTime  = 60 * time.Millisecond
 	// Clients name a new class 1.2 s after SIGHUP; more is waited here.
@@ -94,11 +95,21 @@
 	}
 	time.Sleep(1200 * time.Millisecond) // no SIGHUP comes in the first second
 
-	// Two clients drop mid-stream, two before the first event as their time is over.
+	// Two clients drop mid-stream. The connections of two others are reset before the first event.
+	path, err := standin.StartResetProxy(chat, resetAfter)
+	if err != nil {
+		return 0, err
+	}
 	keys := []string{"transfer-1", "transfer-2", "transfer-3", "transfer-4"}
 	var first sync.WaitGroup
 	for i, key := range keys {
-		first.Go(func() { instruct(rec, chat, key, 0, i < 2, i >= 2) })
+		first.Go(func() {
+			if i < 2 {
+				instruct(rec, chat, key, 0, true)
+			} else {
+				instruct(rec, path, key, 0, false)
+			}
+		})
 	}
 	first.Wait()
 	time.Sleep(300 * time.Millisecond)
@@ -127,7 +138,7 @@
 
 	var second sync.WaitGroup
 	for _, key := range keys {
-		second.Go(func() { instruct(rec, chat, key, 1, false, false) })
+		second.Go(func() { instruct(rec, chat, key, 1, false) })
 	}
 	second.Wait()
 	if d.Ended() {
@@ -144,15 +155,11 @@
 }
 
 // instruct sends an instruction as a client library does. With drop, the client closes its connection
-// after the second event; with overdue, it does so after 0.5 s, before any event.
-func instruct(rec *standin.Record, chat, key string, retry int, drop, overdue bool) {
+// after the second event.
+func instruct(rec *standin.Record, chat, key string, retry int, drop bool) {
 	body := fmt.Sprintf(`{"model":"assistant-act","stream":true,"max_tokens":200,"user":"member-7","messages":[{"role":"user","content":"pay the light bill, order %s"}]}`, key)
 	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
 	defer cancel()
-	if overdue {
-		ctx, cancel = context.WithTimeout(ctx, 500*time.Millisecond)
-		defer cancel()
-	}
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+chat+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		rec.Add("client: %v", err)
@@ -165,7 +172,7 @@
 	rec.Add("client: sends %s, retry %d", key, retry)
 	resp, err := client.Do(q)
 	if err != nil {
-		rec.Add("client: %s, retry %d: no answer, connection closed: %v", key, retry, err)
+		rec.Add("client: %s, retry %d: no answer: %v", key, retry, err)
 		return
 	}
 	defer resp.Body.Close()
--- a/review/cmd/case3/main.go
+++ b/review/cmd/case3/main.go
@@ -1,13 +1,11 @@
-// Command case3: a broken file, in which a class lacks its key_scope, comes with a SIGHUP. Instructions
-// whose repeats the replicas of one zone throw away follow; some connections are reset under them.
+// Command case3: two new configurations in a row come while long prompts are read: the first adds a class
+// and its model for chat clients, the second moves discovery. Then half of the writers begin to drain.
 package main
 
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -18,163 +16,164 @@
 )
 
 const (
-	instructions = 24
-	resetEvery   = 4 // the connection of each fourth instruction is reset under its first run
-	firstToken   = 100 * time.Millisecond
+	requests  = 8
+	tokens    = 25000           // of a prompt
+	readTime  = 7 * time.Second // four such prompts at once at a reader, at some 14,000 tokens a second
+	clientMS  = 12000           // 10 s, and twice 40 ms for each 1,000 tokens
+	grace     = time.Second     // drain_grace_us
+	slack     = 50 * time.Millisecond
+	oldCloses = 1500 * time.Millisecond // the old discovery closes its connections after that
 )
 
 func main() { standin.Main(run) }
 
-const idStart = "9b1f03aa5c7e"
-
-// isReset reports whether the connection is reset under the first run of a request.
-func isReset(id string) bool {
-	var i int
-	_, _ = fmt.Sscanf(strings.TrimPrefix(id, idStart), "%x", &i)
-	return i%resetEvery == 0
-}
-
-// zones is what the replicas of each zone have run: they throw away repeats of a request that came to
-// their zone before.
-type zones struct {
-	mu  sync.Mutex
-	ran map[string][]string // zones in which a request ran, by id
+// drains is when the dispatcher was first told of the drain of each writer.
+type drains struct {
+	mu   sync.Mutex
+	told map[string]time.Time
 }
 
-// begin reports whether a request runs in a zone, or is a repeat there.
-func (z *zones) begin(id, zone string) (runs bool, before int) {
-	z.mu.Lock()
-	defer z.mu.Unlock()
-	before = len(z.ran[id])
-	for _, x := range z.ran[id] {
-		if x == zone {
-			return false, before
+func (d *drains) hear(rec *standin.Record, list []standin.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range list {
+		if _, known := d.told[e.ID]; !known && e.State == "terminating" {
+			d.told[e.ID] = time.Now()
+			rec.Add("the dispatcher is told that %s drains", e.ID)
 		}
 	}
-	z.ran[id] = append(z.ran[id], zone)
-	return true, before
+}
+
+func (d *drains) of(id string) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok := d.told[id]
+	return at, ok
 }
 
 func run(root, dir string, rec *standin.Record, trouble bool) (broken int, err error) {
-	done := &zones{ran: map[string][]string{}}
-	fleet := &standin.Fleet{Record: rec, ReadTime: 30 * time.Millisecond}
+	told := &drains{told: map[string]time.Time{}}
+	var mu sync.Mutex
+	fleet := &standin.Fleet{Record: rec, ReadTime: readTime}
 	fleet.Write = func(c standin.Call, w *standin.Stream) {
-		runs, before := done.begin(c.ID, c.Replica.Zone)
-		if runs {
-			rec.Add("%s in %s: runs %s (runs before: %d)", c.Replica.ID, c.Replica.Zone, c.ID, before)
-		} else {
-			rec.Add("%s in %s: throws a repeat of %s away and answers it", c.Replica.ID, c.Replica.Zone, c.ID)
-		}
-		if before == 0 && isReset(c.ID) {
-			rec.Add("%s: connection reset under %s", c.Replica.ID, c.ID)
-			w.Reset()
-			return
+		at, drains := told.of(c.Replica.ID)
+		late := drains && c.Arrived.Sub(at) > grace+slack
+		if late {
+			mu.Lock()
+			broken++
+			mu.Unlock()
+			rec.Add("%s: %s was sent to it %v after the dispatcher was told of its drain", c.Replica.ID, c.ID, c.Arrived.Sub(at).Round(time.Millisecond))
 		}
-		time.Sleep(firstToken)
 		w.Head()
 		w.Token("done ")
 		w.End()
 	}
-	names := []string{"half-way-tree", "new-kingston"}
-	for cell, zone := range names {
-		for i, kind := range []string{"prompt-box", "prompt-box", "answer-box"} {
-			if _, err := fleet.Add(fmt.Sprintf("%s-%s-%d", kind, zone, i+1), kind, zone, cell+1); err != nil {
+	for i := range 4 {
+		kinds := []string{"answer-box"}
+		if i < 2 {
+			kinds = append(kinds, "prompt-box")
+		}
+		for _, kind := range kinds {
+			if _, err := fleet.Add(fmt.Sprintf("%s-%d", kind, i+1), kind, "half-way-tree", 1); err != nil {
 				return 0, err
 			}
 		}
 	}
-	agent, err := standin.StartAgent(fleet.List())
+	first, err := standin.StartAgent(fleet.List())
 	if err != nil {
 		return 0, err
 	}
-	listen, operator := standin.FreeAddr(), standin.FreeAddr()
+	second, err := standin.StartAgent(fleet.List())
+	if err != nil {
+		return 0, err
+	}
+	for _, a := range []*standin.Agent{first, second} {
+		a.Told = func(list []standin.Entry) { told.hear(rec, list) }
+	}
+	listen, chat := standin.FreeAddr(), standin.FreeAddr()
 	settings := standin.Settings()
-	instruction := standin.Instruction()
-	instruction["repeat"], instruction["key_scope"], instruction["window_us"] = "deduplicated", "zone", 5000000
-	settings["services"] = []standin.Map{standin.Enquiry(), instruction}
-	config := standin.Map{"name": "n1", "listen": listen, "operator": operator, "discovery": agent.Addr, "seed": "8c1f30d27a5be964",
-		"limits": standin.Map{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": settings}
+	models := standin.Map{"assistant": "enquiry", "assistant-act": "instruction"}
+	config := standin.Map{"name": "n1", "listen": listen, "discovery": first.Addr, "seed": "8c1f30d27a5be964",
+		"limits": standin.Map{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"chat":   standin.Map{"listen": chat, "models": models, "max_output": 500}, "settings": settings}
 	file := filepath.Join(dir, "config.json")
 	if err := standin.WriteJSON(file, config); err != nil {
 		return 0, err
 	}
-	d, err := standin.StartDispatcher(root, dir, "n1", file, "EDGE_LISTEN="+listen, "EDGE_DISCOVERY="+agent.Addr)
+	d, err := standin.StartDispatcher(root, dir, "n1", file, "EDGE_LISTEN="+listen, "EDGE_DISCOVERY="+first.Addr)
 	if err != nil {
 		return 0, err
 	}
 	defer d.Kill()
-	if err := standin.AwaitReady(listen, 30*time.Second); err != nil {
-		return 0, err
+	for _, addr := range []string{listen, chat} {
+		if err := standin.AwaitReady(addr, 30*time.Second); err != nil {
+			return 0, err
+		}
 	}
 	time.Sleep(1200 * time.Millisecond) // no SIGHUP comes in the first second
 
+	var clients sync.WaitGroup
+	for i := range requests {
+		clients.Go(func() { ask(rec, listen, fmt.Sprintf("9b1f03aa5c7e%04x", i)) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	register := first
 	if trouble {
-		delete(instruction, "key_scope")
-		if err := standin.WriteJSON(file, config); err != nil {
+		settings["services"] = append(settings["services"].([]standin.Map), standin.Map{"name": "statement", "repeat": "idempotent",
+			"key_scope": "all", "goal_time_us": 1500000, "deadline_us": 6000000, "window_us": 5000000, "credit": 1, "late_worth": 0.3, "stream": true})
+		models["assistant-statement"] = "statement"
+		if err := hup(d, file, config); err != nil {
 			return 0, err
 		}
-		if err := d.Signal(syscall.SIGHUP); err != nil {
+		rec.Add("SIGHUP: a class and its model are added")
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		config["discovery"] = second.Addr
+		if err := hup(d, file, config); err != nil {
 			return 0, err
 		}
-		rec.Add("SIGHUP: the file lacks services[1].key_scope")
+		first.Retire(oldCloses)
+		register = second
+		rec.Add("SIGHUP: discovery moves")
 	}
-	time.Sleep(1500 * time.Millisecond)
-	rec.Add("figures: %s", figures(operator))
-
-	var clients sync.WaitGroup
-	for i := range instructions {
-		id := fmt.Sprintf("%s%04x", idStart, i)
-		clients.Go(func() {
-			status, err := ask(listen, id)
-			rec.Add("client: %s: status %d, error %v", id, status, err)
-		})
-		time.Sleep(100 * time.Millisecond)
+	time.Sleep(time.Second)
+	list := fleet.List()
+	for i := range list {
+		if list[i].ID == "answer-box-1" || list[i].ID == "answer-box-2" {
+			list[i].State = "terminating"
+		}
 	}
+	register.Set(list)
 	clients.Wait()
 	if d.Ended() {
 		return 0, fmt.Errorf("the dispatcher has ended")
 	}
-	done.mu.Lock()
-	defer done.mu.Unlock()
-	for id, in := range done.ran {
-		if len(in) > 1 {
-			rec.Add("%s ran %d times: in %s", id, len(in), strings.Join(in, " and "))
-			broken++
-		}
+	if len(told.told) != 2 {
+		return 0, fmt.Errorf("the dispatcher was told of %d drains", len(told.told))
 	}
 	return broken, nil
 }
 
-// figures returns the counts of files taken and turned down.
-func figures(operator string) string {
-	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + operator + "/-/metrics")
-	if err != nil {
-		return err.Error()
-	}
-	defer resp.Body.Close()
-	text, _ := io.ReadAll(resp.Body)
-	var all []string
-	for _, line := range strings.Split(string(text), "\n") {
-		if strings.HasPrefix(line, "edge.sighup") {
-			all = append(all, line)
-		}
+// hup puts a file in place and tells the program.
+func hup(d *standin.Dispatcher, file string, config standin.Map) error {
+	if err := standin.WriteJSON(file, config); err != nil {
+		return err
 	}
-	return strings.Join(all, " ")
+	return d.Signal(syscall.SIGHUP)
 }
 
-// ask sends an instruction and reads the answer to its end.
-func ask(addr, id string) (status int, err error) {
+// ask sends an instruction with a long prompt and reads the answer to its end.
+func ask(rec *standin.Record, addr, id string) {
 	c, err := net.DialTimeout("tcp", addr, 2*time.Second)
 	if err != nil {
-		return 0, err
+		rec.Add("client: %v", err)
+		return
 	}
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(12 * time.Second))
-	body := `{"model":"chat","stream":true,"messages":[{"role":"user","content":"pay the light bill"}]}`
-	if _, err := fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: %s\r\nX-Qos: instruction\r\nX-Expires-In: 10000m\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body); err != nil {
-		return 0, err
-	}
-	status, _, err = standin.ReadAnswer(bufio.NewReader(c))
-	return status, err
+	_ = c.SetDeadline(time.Now().Add(15 * time.Second))
+	body := `{"model":"chat","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("pay ", tokens-100) + `"}]}`
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: %s\r\nX-Qos: instruction\r\nX-Expires-In: %dm\r\nX-Props: prompt_len=%d,max_out=100\r\nContent-Length: %d\r\n\r\n%s", id, clientMS, tokens, len(body), body)
+	status, _, err := standin.ReadAnswer(bufio.NewReader(c))
+	rec.Add("client: %s: status %d, error %v", id, status, err)
 }
--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -53,25 +53,48 @@
 	StartedMS int64   `json:"started_ms"`
 }
 
-// Agent is a discovery agent with a list that does not change during the case.
+// Agent is a discovery agent. It answers watches at once when its list has changed.
 type Agent struct {
 	Addr string
-	mu   sync.Mutex
-	list []Entry
+
+	// Told is called when a list has been written to the dispatcher; may be nil.
+	Told func(list []Entry)
+
+	ln      net.Listener
+	server  *http.Server
+	mu      sync.Mutex
+	version int64
+	list    []Entry
+	changed chan struct{} // closed when the list changes
 }
 
-// StartAgent starts an agent.
+// StartAgent starts an agent with a list.
 func StartAgent(list []Entry) (*Agent, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{Addr: ln.Addr().String(), list: list}
-	go http.Serve(ln, a)
+	a := &Agent{Addr: ln.Addr().String(), ln: ln, list: list, version: 41, changed: make(chan struct{})}
+	a.server = &http.Server{Handler: a}
+	go a.server.Serve(ln)
 	return a, nil
 }
 
-const listVersion = 41
+// Set changes the list.
+func (a *Agent) Set(list []Entry) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.list = list
+	a.version++
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// Retire accepts no new connection from now on and closes the open ones after a time.
+func (a *Agent) Retire(after time.Duration) {
+	a.ln.Close()
+	time.AfterFunc(after, func() { a.server.Close() })
+}
 
 func (a *Agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/api/targets" {
@@ -79,21 +102,34 @@
 		return
 	}
 	q := r.URL.Query()
-	full := q.Get("index") != fmt.Sprint(listVersion)
+	a.mu.Lock()
+	version, list, changed := a.version, a.list, a.changed
+	a.mu.Unlock()
+	full := q.Get("index") != fmt.Sprint(version)
 	if !full {
 		var ms int
 		fmt.Sscan(q.Get("wait"), &ms)
 		select {
 		case <-time.After(time.Duration(min(ms, 60000)) * time.Millisecond):
+		case <-changed:
+			a.mu.Lock()
+			full, version, list = true, a.version, a.list
+			a.mu.Unlock()
 		case <-r.Context().Done():
 			return
 		}
 	}
-	reply := map[string]any{"version": listVersion, "full": full, "servers": []Entry{}}
+	reply := map[string]any{"version": version, "full": full, "servers": []Entry{}}
 	if full {
-		reply["servers"] = a.list
+		reply["servers"] = list
+	}
+	if err := json.NewEncoder(w).Encode(reply); err != nil {
+		return
+	}
+	w.(http.Flusher).Flush()
+	if full && a.Told != nil {
+		a.Told(list)
 	}
-	json.NewEncoder(w).Encode(reply)
 }
 
 // Call is one request that a replica has received whole.
@@ -102,6 +138,7 @@
 	ID      string
 	Header  http.Header
 	Body    []byte
+	Arrived time.Time // when its head had come
 }
 
 // Fleet is the readers and writers of a case. It knows which read states are held.
@@ -171,6 +208,7 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
+	arrived := time.Now()
 	id := q.Header.Get("X-Trace-Id")
 	if q.URL.Path != "/v1/chat/completions" || id == "" {
 		http.NotFound(w, q)
@@ -198,7 +236,7 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	r.fleet.Write(Call{r, id, q.Header, body}, &Stream{W: w, Gone: q.Context()})
+	r.fleet.Write(Call{r, id, q.Header, body, arrived}, &Stream{W: w, Gone: q.Context()})
 }
 
 // Stream is the answer of a writer.
