--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -59,10 +59,14 @@
 
 	// Told is called when a list has been written to the dispatcher; may be nil.
 	Told func(list []Entry)
+	// GivenUp is called when the dispatcher has closed the connection of a call that waits for its
+	// turn; may be nil.
+	GivenUp func(query string)
 
 	ln      net.Listener
 	server  *http.Server
 	mu      sync.Mutex
+	queue   time.Duration // how long a call waits for its turn
 	version int64
 	list    []Entry
 	changed chan struct{} // closed when the list changes
@@ -90,6 +94,13 @@
 	a.changed = make(chan struct{})
 }
 
+// SetQueue sets how long each call waits for its turn before it is dealt with.
+func (a *Agent) SetQueue(wait time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue = wait
+}
+
 // Retire accepts no new connection from now on and closes the open ones after a time.
 func (a *Agent) Retire(after time.Duration) {
 	a.ln.Close()
@@ -103,6 +114,17 @@
 	}
 	q := r.URL.Query()
 	a.mu.Lock()
+	queue := a.queue
+	a.mu.Unlock()
+	select {
+	case <-time.After(queue):
+	case <-r.Context().Done(): // the caller has given up
+		if a.GivenUp != nil {
+			a.GivenUp(r.URL.RawQuery)
+		}
+		return
+	}
+	a.mu.Lock()
 	version, list, changed := a.version, a.list, a.changed
 	a.mu.Unlock()
 	full := q.Get("index") != fmt.Sprint(version)
@@ -146,6 +168,8 @@
 	Record *Record
 	// ReadTime is how long a reader takes.
 	ReadTime time.Duration
+	// TurnAway reports whether a replica turns a request away; may be nil.
+	TurnAway func(c Call) bool
 	// Write answers a request at a writer whose state has been fetched.
 	Write func(c Call, w *Stream)
 
@@ -219,6 +243,11 @@
 		return
 	}
 	r.fleet.Record.Add("%s: received %s", r.ID, id)
+	if f := r.fleet.TurnAway; f != nil && f(Call{r, id, q.Header, body, arrived}) {
+		w.Header().Set("X-Never-Ran", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if strings.HasPrefix(r.Kind, "prompt") {
 		time.Sleep(r.fleet.ReadTime)
 		if q.Context().Err() != nil { // the dispatcher gave the read up
