--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -323,6 +324,9 @@
 	return ln.Addr().String()
 }
 
+// The program is to end with this process, which the system ties to the thread that started it.
+func init() { runtime.LockOSThread() }
+
 // Dispatcher is the program under test.
 type Dispatcher struct {
 	Config string // path of its configuration file
