Reject a file in which a class lacks a key that it has in force, such as key_scope

Cause: an absent key took the zero value of its type, and that of the scope is the one that allows most. The check of a class did not ask for key_scope, and the check for lost keys left out all that stands below services and tenants.

A deduplicated class needs its key_scope wherever settings are read; at SIGHUP a class or tenant may lose no key of its namesake in force (aim_stretch may be absent), a new one has what all have. Nothing is taken of such a file, so the scope in force goes on to hold, whatever key is lost.

--- a/cmd/standpulley/sighup_test.go
+++ b/cmd/standpulley/sighup_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -55,3 +56,38 @@
 		t.Errorf("%d sends to writers for two requests", n)
 	}
 }
+
+// TestSIGHUPWithoutKeyScopeIsRejected guards against a broken file that is taken because a class
+// lacks its key_scope: the scope then was all servers, and repeats ran again in another zone.
+func TestSIGHUPWithoutKeyScopeIsRejected(t *testing.T) {
+	var wasReset atomic.Bool
+	resetFirst := func(x *fake.Exchange) {
+		if wasReset.CompareAndSwap(false, true) {
+			x.Break() // the request may have run
+			return
+		}
+		x.Answer("done")
+	}
+	_, reader := startReplica(t, "reader", "reader", func(x *fake.Exchange) { x.Read(0) })
+	near, nearEntry := startReplica(t, "near", "writer", resetFirst)
+	far, farEntry := startReplica(t, "far", "writer", resetFirst)
+	farEntry.Zone = "elsewhere"
+	agent, addr, path := startAgent(t, reader, nearEntry, farEntry), freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	byZone := strings.Replace(settings, `"at_most_once"`, `"deduplicated","key_scope":"zone","window_us":5000000`, 1)
+	cmd, out := startProgram(t, writeConfig(t, path, addr, agent.Addr, byZone, ""))
+	waitFor(t, "a ready program", func() bool { return strings.Contains(out.String(), "n0: ready") })
+	writeConfig(t, path, addr, agent.Addr, strings.Replace(byZone, `"key_scope":"zone",`, "", 1), "")
+	sendSignal(t, cmd, syscall.SIGHUP)
+	waitFor(t, "an answer to SIGHUP", func() bool {
+		return strings.Contains(out.String(), "keeping the configuration in force") || strings.Contains(out.String(), "new settings are in force")
+	})
+	if !strings.Contains(out.String(), "key settings.services.1.key_scope") {
+		t.Errorf("the broken file was taken, or the key is not named:\n%s", out)
+	}
+	if status, text, err := readResponse(t, sendRequest(t, addr, 1)); err != nil || status != 200 || !strings.Contains(text, "done") {
+		t.Errorf("after one reset: %d %q %v", status, text, err)
+	}
+	if n, m := len(near.Calls("POST")), len(far.Calls("POST")); n != 0 && m != 0 || n+m != 2 {
+		t.Errorf("%d sends to one zone and %d to the other, want both sends in the same", n, m)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -35,8 +34,8 @@
 	Recovery  *Recovery // nil: off
 	Settings  logic.Settings
 
-	rawSettings map[string]any  // the settings as decoded from the file
-	presentKeys map[string]bool // keys that the file sets, without those of services and tenants
+	rawSettings map[string]any // the settings as decoded from the file
+	present     presentKeys
 }
 
 // Chat configures the front for the chat API. It is off unless the operator's file has it.
@@ -151,7 +150,7 @@
 	}
 	values := Values{}
 	flatten(values, "", f.Settings)
-	c.presentKeys, c.rawSettings = f.presentKeys(values), f.Settings
+	c.present, c.rawSettings = f.presentKeys(values), f.Settings
 	return c, c.applySettings(values)
 }
 
@@ -173,34 +172,10 @@
 	return nil
 }
 
-// presentKeys returns which keys the file sets, of those that the next version of the file must not
-// lose.
-func (f *file) presentKeys(settings Values) map[string]bool {
-	keys := map[string]bool{"name": f.Name != "", "listen": f.Listen != "", "discovery": f.Discovery != "",
-		"operator": f.Operator != "", "seed": f.Seed != "", "limits": f.Limits != Limits{}}
-	for path := range settings {
-		if !strings.HasPrefix(path, "services.") && !strings.HasPrefix(path, "tenants.") {
-			keys["settings."+path] = true
-		}
-	}
-	return keys
-}
-
-// CheckMissingKeys returns an error that names a key that the file in force sets and c lacks. A
-// truncated file must not be taken for a complete one.
-func (c Config) CheckMissingKeys(inForce Config) error {
-	for _, key := range slices.Sorted(maps.Keys(inForce.presentKeys)) {
-		if inForce.presentKeys[key] && !c.presentKeys[key] {
-			return &Fault{key, "missing, and the file in force has it"}
-		}
-	}
-	return nil
-}
-
 // DiffersInDiscoveryOnly reports whether a stack that serves o can serve c by changing only its
 // discovery watch. The seed and the known replicas are ignored, as they matter only at a start.
 func (c Config) DiffersInDiscoveryOnly(o Config) bool {
-	o.Name, o.Discovery, o.Seed, o.Known, o.presentKeys, o.rawSettings = c.Name, c.Discovery, c.Seed, c.Known, c.presentKeys, c.rawSettings
+	o.Name, o.Discovery, o.Seed, o.Known, o.present, o.rawSettings = c.Name, c.Discovery, c.Seed, c.Known, c.present, c.rawSettings
 	return reflect.DeepEqual(c, o)
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -56,6 +56,7 @@
 		{`"probe":0.0032`, `"cross_zone":-0.1`, "settings.prices.cross_zone"},
 		{`"probes":true`, `"probes":"often"`, "settings.limits.probes"},
 		{`["read","write"]`, `["read","sing"]`, "settings.family_info.duty_by_kind"},
+		{`["read","write"]`, `["read"]`, "settings.family_info.duty_by_kind"}, // the second kind would count as a reader
 		{`"try_limit":6`, `"try_limit":0`, "MaxAttempts"},
 		{`"name":"c",`, ``, "settings.services.0.name"},
 		{`"deadline_us":6000000,`, ``, "settings.services.0.deadline_us"},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -116,13 +116,15 @@
 	duties := c.list("family_info.duty_by_kind")
 	for i, name := range c.list("host_types") {
 		k := logic.Kind{Name: name, MemoryTokens: int64(c.element("family_info.kv_tokens", i))}
-		if i < len(duties) {
-			role, ok := roles[duties[i]]
-			if !ok {
-				c.fail("family_info.duty_by_kind", fmt.Sprintf("%q is not known", duties[i]))
-			}
-			k.Role = role
+		if i >= len(duties) {
+			c.fail("family_info.duty_by_kind", fmt.Sprintf("missing for %q, number %d of host_types", name, i))
+			break
 		}
+		role, ok := roles[duties[i]]
+		if !ok {
+			c.fail("family_info.duty_by_kind", fmt.Sprintf("%q is not known", duties[i]))
+		}
+		k.Role = role
 		s.Kinds = append(s.Kinds, k)
 	}
 	for i := range c.count("services") {
@@ -135,11 +137,7 @@
 			Repeat: enum(c, p+"repeat", repeats), Scope: enum(c, p+"key_scope", scopes),
 			Window: c.duration(p + "window_us"),
 		})
-		for _, key := range []string{"name", "goal_time_us", "deadline_us", "repeat"} {
-			if c.values[p+key] == "" {
-				c.fail(p+key, "missing")
-			}
-		}
+		c.requireInClass(p)
 	}
 	for i := range c.count("tenants") {
 		p := fmt.Sprintf("tenants.%d.", i)
