Keep the chat API's memory of instructions for the process, not for one configuration

Cause: the memory belonged to the chat front, which is built anew with a stack for one configuration.

Change: chat.Instructions belongs to the process; all chat fronts use it, the replaced one as well.

--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -42,22 +42,23 @@
 type Options struct {
 	Models    map[string]string // class name by model
 	MaxOutput int64             // in tokens, for requests without a limit
-	Ledger    once.Ledger       // shared by the dispatchers; nil: this front remembers instructions by itself
+	Ledger    once.Ledger       // shared by the dispatchers; nil: the instructions of this process are used
 }
 
 // Front serves clients of the chat API.
 type Front struct {
-	core    *dispatch.Dispatcher
-	pool    *replica.Pool
-	options Options
-	classes atomic.Pointer[map[string]logic.Class] // by model
-	ledger  *ledger
-	json    jsoniter.API
+	core         *dispatch.Dispatcher
+	pool         *replica.Pool
+	options      Options
+	classes      atomic.Pointer[map[string]logic.Class] // by model
+	instructions *Instructions
+	json         jsoniter.API
 }
 
-// New returns the front of a core; its requests are sent over the pool's connections.
-func New(core *dispatch.Dispatcher, pool *replica.Pool, classes []logic.Class, set Options) (*Front, error) {
-	f := &Front{core: core, pool: pool, options: set, ledger: newLedger(), json: jsoniter.ConfigCompatibleWithStandardLibrary}
+// New returns the front of a core; its requests are sent over the pool's connections. All chat
+// fronts of a process use the same instructions.
+func New(core *dispatch.Dispatcher, pool *replica.Pool, classes []logic.Class, instructions *Instructions, set Options) (*Front, error) {
+	f := &Front{core: core, pool: pool, options: set, instructions: instructions, json: jsoniter.ConfigCompatibleWithStandardLibrary}
 	return f, f.UpdateClasses(classes)
 }
 
@@ -144,7 +145,7 @@
 		}
 	case class.Repeat != logic.Safe:
 		key, named := f.instructionKey(h, b, text)
-		known, full := f.ledger.begin(key, named || spec.Retried)
+		known, full := f.instructions.begin(key, named || spec.Retried)
 		switch {
 		case known:
 			f.writeMayHaveRun(ctx, "this instruction was taken before and may have run: it is not sent again")
@@ -153,7 +154,7 @@
 			f.writeOverloaded(ctx, time.Second, "too many instructions are remembered")
 			return nil
 		}
-		done = func(mayHaveRun bool) { f.ledger.finish(key, mayHaveRun) }
+		done = func(mayHaveRun bool) { f.instructions.finish(key, mayHaveRun) }
 	}
 	t := f.core.Submit(dispatch.Request{ID: id, Spec: spec, Received: received, ClientGone: front.ClientGone(ctx), Size: len(text), Intents: recorder, Payload: &replica.Request{
 		Pool: f.pool, ID: id, Method: fasthttp.MethodPost, URI: completionsPath, Host: string(h.Host()), Body: text,
--- a/internal/program/apply.go
+++ b/internal/program/apply.go
@@ -72,7 +72,7 @@
 		// The configured list takes effect only once dispatchers have agreed on it.
 		known, knownVersion = dispatch.Update{}, nil
 	}
-	next, err := newStack(cfg, known, knownVersion, p.pool, &p.counts, p.lease, p.lists(), p.keeper())
+	next, err := newStack(cfg, known, knownVersion, p.pool, &p.counts, p.lease, p.lists(), p.keeper(), p.instructions)
 	if err != nil {
 		return err
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -31,6 +31,7 @@
 	"standpulley/internal/dispatch"
 	_ "standpulley/internal/earlyhup" // ignores SIGHUP until this program handles it
 	"standpulley/internal/front"
+	"standpulley/internal/front/chat"
 	"standpulley/internal/replica"
 )
 
@@ -38,16 +39,18 @@
 type program struct {
 	ports map[string]*front.Port
 	// pool and limiter are shared by all stacks because their limits apply to the whole process.
-	pool          *replica.Pool
-	limiter       *front.ConnLimiter
-	current       *stack
-	live          atomic.Pointer[stack] // same as current, read by the admin endpoint
-	adminPort     *front.Port           // port of the admin endpoint
-	adminAddr     string
-	counts        dispatch.Counts // totals over all stacks
-	applied       atomic.Int64    // configurations applied on SIGHUP
-	rejected      atomic.Int64    // configurations rejected on SIGHUP
-	operatorDrain atomic.Bool     // an operator has drained the program
+	pool      *replica.Pool
+	limiter   *front.ConnLimiter
+	current   *stack
+	live      atomic.Pointer[stack] // same as current, read by the admin endpoint
+	adminPort *front.Port           // port of the admin endpoint
+	adminAddr string
+	counts    dispatch.Counts // totals over all stacks
+	// instructions outlives all stacks: a repeat may come to another one than the first attempt.
+	instructions  *chat.Instructions
+	applied       atomic.Int64 // configurations applied on SIGHUP
+	rejected      atomic.Int64 // configurations rejected on SIGHUP
+	operatorDrain atomic.Bool  // an operator has drained the program
 	// Another process may listen on the client address, so that a new version can take over.
 	shared    bool
 	finishing sync.WaitGroup    // replaced stacks that are still finishing their requests
@@ -122,7 +125,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	p := &program{ports: map[string]*front.Port{}, pool: replica.NewPool(0, 0, 0), limiter: front.NewConnLimiter(0, 0),
-		draining: make(chan struct{})}
+		instructions: chat.NewInstructions(), draining: make(chan struct{})}
 	p.limiter.OnClose = func(cause dispatch.Cause, client string) { p.counts.Count(dispatch.ClientClosed, cause, client) }
 	go p.pool.Sweep(ctx)
 	if m == nil {
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -49,7 +49,7 @@
 // newStack returns a stack that starts with the replicas in known. knownVersion is the version of
 // that list at its discovery service, or nil if the list did not come from there. The stack is not
 // yet open to clients.
-func newStack(cfg config.Config, known dispatch.Update, knownVersion *int64, pool *replica.Pool, counts *dispatch.Counts, lease dispatch.Lease, l *listMerger, k *intentlog.Service) (*stack, error) {
+func newStack(cfg config.Config, known dispatch.Update, knownVersion *int64, pool *replica.Pool, counts *dispatch.Counts, lease dispatch.Lease, l *listMerger, k *intentlog.Service, instructions *chat.Instructions) (*stack, error) {
 	s := &stack{cfg: cfg, releaser: replica.NewReleaser(pool), fronts: map[string]*fasthttp.Server{}, listReceived: make(chan struct{}, 1),
 		stopWatch: func() {}, lists: l, knownVersion: knownVersion}
 	var err error
@@ -67,7 +67,7 @@
 		ledger = k
 	}
 	if cfg.Chat.Listen != "" {
-		f, err := chat.New(s.core, pool, cfg.Settings.Classes, chat.Options{Models: cfg.Chat.Models, MaxOutput: cfg.Chat.MaxOutput, Ledger: ledger})
+		f, err := chat.New(s.core, pool, cfg.Settings.Classes, instructions, chat.Options{Models: cfg.Chat.Models, MaxOutput: cfg.Chat.MaxOutput, Ledger: ledger})
 		if err != nil {
 			return nil, err
 		}
