Serve every configuration with one core, so that open requests hear of drains and SIGTERM

Cause: a file that changed chat or an address built a second core with its own table, list and budgets, and each kind of news reached the core in force alone, or the one before it once.

Change: one core for the life of the process.

--- a/cmd/standpulley/configurations_test.go
+++ b/cmd/standpulley/configurations_test.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -176,3 +179,171 @@
 		}
 	}
 }
+
+// steppedSite is a site whose configuration is replaced several times: each step adds a class and a
+// model, moves discovery, and leaves the discovery service before silent. Requests that are sent
+// between the steps wait at the reader.
+type steppedSite struct {
+	*site
+	entries       []fake.Entry // the list: reader, staying writer, and writers of which one drains at each step
+	agent         *fake.Agent
+	arrivals      chan bool // requests that have come to the reader and wait there
+	finish        chan bool // closed to let the reader answer
+	open          []net.Conn
+	sentToLeaving atomic.Int64 // of the open requests, those sent to writers that leave
+}
+
+const (
+	configurationSteps = 3
+	requestsPerStep    = 6
+	// promptID is the first of the ids of requests that the reader answers at once, which shows the
+	// dispatcher that it is not silent.
+	promptID = 0x1000
+)
+
+func startSteppedSite(t *testing.T, way string) *steppedSite {
+	t.Helper()
+	s := &steppedSite{arrivals: make(chan bool, 100), finish: make(chan bool)}
+	waits := func(x *fake.Exchange) bool { return x.ID < fmt.Sprintf("%016x", promptID) }
+	_, reader := startReplica(t, "reader", "reader", func(x *fake.Exchange) {
+		if waits(x) {
+			s.arrivals <- true
+			<-s.finish
+		}
+		x.Read(0)
+	})
+	_, staying := startReplica(t, "staying", "writer", func(x *fake.Exchange) { x.Answer("staying") })
+	s.entries = []fake.Entry{reader, staying}
+	for n := range configurationSteps {
+		_, entry := startReplica(t, fmt.Sprintf("leaving-%d", n), "writer", func(x *fake.Exchange) {
+			if waits(x) {
+				s.sentToLeaving.Add(1)
+			}
+			x.Answer("leaving")
+		})
+		s.entries = append(s.entries, entry)
+	}
+	s.agent = startAgent(t, s.entries...)
+	s.site = startSite(t, way, newSiteFile(t, s.agent.Addr))
+	return s
+}
+
+// sendRequests sends requests that wait at the reader, and one that does not.
+func (s *steppedSite) sendRequests(t *testing.T) {
+	t.Helper()
+	for range requestsPerStep {
+		text := strings.Replace(requestText(s.file.Listen, len(s.open)+1), "X-Expires-In: 5000m", "X-Expires-In: 11000m", 1)
+		s.open = append(s.open, sendText(t, s.file.Listen, text))
+		select {
+		case <-s.arrivals:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("request %d does not come to the reader\n%s", len(s.open), s.out)
+		}
+	}
+	readAnswer(t, sendRequest(t, s.file.Listen, promptID+len(s.open)))
+}
+
+// step puts the next configuration in force. Its discovery service alone then tells that one more
+// writer drains.
+func (s *steppedSite) step(t *testing.T, n int) {
+	t.Helper()
+	previous := s.agent
+	s.agent = startAgent(t, s.entries...)
+	s.file.Discovery = s.agent.Addr
+	s.file.addClass(fmt.Sprintf("new-%d", n))
+	s.reload(t)
+	previous.SetUnresponsive(true)
+	entry := &s.entries[2+n]
+	entry.State = "terminating"
+	s.agent.Set(s.entries...)
+	waitFor(t, "the drain", func() bool {
+		return strings.Contains(s.out.String(), "list: "+entry.ID+" writer "+entry.Addr+" zone z cell 0 is draining")
+	})
+}
+
+// TestRequestsOfEveryConfigurationHearDrains guards against requests that go on under a replaced
+// configuration and are told of no drain by a discovery that has moved since: they were sent to
+// draining writers (review case 3).
+func TestRequestsOfEveryConfigurationHearDrains(t *testing.T) {
+	for _, way := range reloadWays {
+		for _, pause := range []time.Duration{300 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprintf("%s/%v", way, pause), func(t *testing.T) {
+				s := startSteppedSite(t, way)
+				for n := range configurationSteps {
+					s.sendRequests(t)
+					s.step(t, n)
+					time.Sleep(pause)
+				}
+				s.sendRequests(t)
+				close(s.finish)
+				for n, c := range s.open {
+					if status, text, err := readResponse(t, c); err != nil || status != 200 || !strings.Contains(text, "staying") {
+						t.Errorf("request %d: %d %q %v", n+1, status, text, err)
+					}
+				}
+				if n := s.sentToLeaving.Load(); n != 0 {
+					t.Errorf("%d requests were sent to writers that drain", n)
+				}
+			})
+		}
+	}
+}
+
+// TestRequestsOfEveryConfigurationAreAnsweredAtSIGTERM guards against requests that go on under a
+// configuration replaced more than 2 s ago and hear nothing of SIGTERM: they had no answer when
+// SIGKILL was due.
+func TestRequestsOfEveryConfigurationAreAnsweredAtSIGTERM(t *testing.T) {
+	const sigkillAfter = 3700 * time.Millisecond
+	for _, way := range reloadWays {
+		for _, steps := range []int{1, configurationSteps} {
+			t.Run(fmt.Sprintf("%s/%d", way, steps), func(t *testing.T) {
+				s := startSteppedSite(t, way)
+				defer close(s.finish)
+				for n := range steps {
+					s.sendRequests(t)
+					s.step(t, n)
+				}
+				time.Sleep(2200 * time.Millisecond)
+				s.signal(t, syscall.SIGTERM)
+				signalled := time.Now()
+				for n, c := range s.open {
+					status, text, err := readResponse(t, c)
+					if took := time.Since(signalled); err != nil || status == 200 || took > sigkillAfter {
+						t.Errorf("request %d: %d %q %v, %v after SIGTERM", n+1, status, text, err, took)
+					}
+				}
+				if err := s.wait(); err != nil {
+					t.Errorf("exit: %v\n%s", err, s.out)
+				}
+			})
+		}
+	}
+}
+
+// TestOpenRequestIsKnownAcrossConfigurations guards against a table of open requests for each
+// configuration: the id of an open request was taken a second time under the next one, and what was
+// held for the first was released with the second.
+func TestOpenRequestIsKnownAcrossConfigurations(t *testing.T) {
+	for _, way := range reloadWays {
+		t.Run(way, func(t *testing.T) {
+			act, started, finish := heldWriter()
+			s := startSite(t, way, newSiteFile(t, startAgent(t, startFleet(t, act)...).Addr))
+			first := sendRequest(t, s.file.Listen, 1)
+			<-started
+			for n := range 2 {
+				s.file.addClass(fmt.Sprintf("new-%d", n))
+				s.reload(t)
+				if status, text, err := readResponse(t, sendRequest(t, s.file.Listen, 1)); err != nil || status < 400 {
+					t.Errorf("second request with the id of an open one: %d %q %v", status, text, err)
+				}
+			}
+			close(finish)
+			if text := readAnswer(t, first); !strings.HasSuffix(text, "[DONE]\n\n") {
+				t.Errorf("the first request: %q", text)
+			}
+			if n := len(started); n != 0 {
+				t.Errorf("%d further requests were sent to the writer", n)
+			}
+		})
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -172,7 +172,7 @@
 	return nil
 }
 
-// DiffersInDiscoveryOnly reports whether a stack that serves o can serve c by changing only its
+// DiffersInDiscoveryOnly reports whether a program that serves o can serve c by changing only its
 // discovery watch. The seed and the known replicas are ignored, as they matter only at a start.
 func (c Config) DiffersInDiscoveryOnly(o Config) bool {
 	o.Name, o.Discovery, o.Seed, o.Known, o.present, o.rawSettings = c.Name, c.Discovery, c.Seed, c.Known, c.present, c.rawSettings
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -42,41 +42,46 @@
 type Options struct {
 	Models    map[string]string // class name by model
 	MaxOutput int64             // in tokens, for requests without a limit
-	Ledger    once.Ledger       // shared by the dispatchers; nil: the instructions of this process are used
 }
 
 // Front serves clients of the chat API.
 type Front struct {
 	core         *dispatch.Dispatcher
 	pool         *replica.Pool
-	options      Options
-	classes      atomic.Pointer[map[string]logic.Class] // by model
+	ledger       once.Ledger // shared by the dispatchers; nil: the instructions of this process are used
 	instructions *Instructions
+	models       atomic.Pointer[models]
 	json         jsoniter.API
 }
 
+// models are what the front takes from the configuration in force.
+type models struct {
+	classes   map[string]logic.Class // by model
+	maxOutput int64                  // in tokens, for requests without a limit
+}
+
 // New returns the front of a core; its requests are sent over the pool's connections. All chat
-// fronts of a process use the same instructions.
-func New(core *dispatch.Dispatcher, pool *replica.Pool, classes []logic.Class, instructions *Instructions, set Options) (*Front, error) {
-	f := &Front{core: core, pool: pool, options: set, instructions: instructions, json: jsoniter.ConfigCompatibleWithStandardLibrary}
-	return f, f.UpdateClasses(classes)
+// fronts of a process use the same instructions, unless the dispatchers share a ledger.
+func New(core *dispatch.Dispatcher, pool *replica.Pool, classes []logic.Class, instructions *Instructions, ledger once.Ledger, set Options) (*Front, error) {
+	f := &Front{core: core, pool: pool, instructions: instructions, ledger: ledger, json: jsoniter.ConfigCompatibleWithStandardLibrary}
+	return f, f.Update(classes, set)
 }
 
-// UpdateClasses replaces the classes for subsequent requests. It returns an error that names a
-// model whose class is missing.
-func (f *Front) UpdateClasses(classes []logic.Class) error {
-	byModel := map[string]logic.Class{}
-	for model, name := range f.options.Models {
+// Update replaces the classes and options for subsequent requests. It returns an error that names a
+// model whose class is missing; the previous ones then stay in force.
+func (f *Front) Update(classes []logic.Class, set Options) error {
+	next := &models{classes: map[string]logic.Class{}, maxOutput: set.MaxOutput}
+	for model, name := range set.Models {
 		for _, c := range classes {
 			if c.Name == name {
-				byModel[model] = c
+				next.classes[model] = c
 			}
 		}
-		if _, ok := byModel[model]; !ok {
+		if _, ok := next.classes[model]; !ok {
 			return fmt.Errorf("key chat.models.%s: %q is not a class", model, name)
 		}
 	}
-	f.classes.Store(&byModel)
+	f.models.Store(next)
 	return nil
 }
 
@@ -112,11 +117,12 @@
 	if err != nil {
 		return err
 	}
-	class, ok := (*f.classes.Load())[b.Model]
+	served := f.models.Load()
+	class, ok := served.classes[b.Model]
 	if !ok {
 		return &requestError{fasthttp.StatusNotFound, "model_not_found", "model", fmt.Sprintf("the model %q does not exist", b.Model)}
 	}
-	spec, err := b.toRequest(class, f.options.MaxOutput)
+	spec, err := b.toRequest(class, served.maxOutput)
 	if err != nil {
 		return err
 	}
@@ -134,8 +140,8 @@
 	done := func(mayHaveRun bool) {}
 	var recorder dispatch.IntentRecorder
 	switch {
-	case class.Repeat == logic.Unsafe && f.options.Ledger != nil:
-		recorder, err = once.Admit(f.options.Ledger, h, customerOf(h, b), text, spec.Retried, received.Add(spec.Remaining))
+	case class.Repeat == logic.Unsafe && f.ledger != nil:
+		recorder, err = once.Admit(f.ledger, h, customerOf(h, b), text, spec.Retried, received.Add(spec.Remaining))
 		if intentlog.MayHaveRun(err) {
 			f.writeMayHaveRun(ctx, err.Error())
 			return nil
@@ -352,7 +358,7 @@
 		Object string  `json:"object"`
 		Data   []model `json:"data"`
 	}{"list", []model{}}
-	for name := range *f.classes.Load() {
+	for name := range f.models.Load().classes {
 		all.Data = append(all.Data, model{name, "model", 0, "standpulley"})
 	}
 	sort.Slice(all.Data, func(i, j int) bool { return all.Data[i].ID < all.Data[j].ID })
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -417,7 +417,8 @@
 }
 
 // NewServer returns the server of a front with its limits. Requests that can't be parsed are
-// answered by refuse. While the program shuts down, each response is the last on its connection.
+// answered by refuse. While the program shuts down, or once the connection's Listener is retired,
+// each response is the last on its connection.
 func NewServer(core *dispatch.Dispatcher, handler Handler, refuse func(ctx *fasthttp.RequestCtx, status int, text string),
 	maxBody int) *fasthttp.Server {
 	handleReadError := func(ctx *fasthttp.RequestCtx, err error) {
@@ -455,7 +456,7 @@
 			}
 			handler(ctx, body)
 			// Requests that were read ahead are answered first.
-			if !core.Phases.KeepAlive() && len(c.readAhead) == 0 {
+			if (!core.Phases.KeepAlive() || c.isRetired()) && len(c.readAhead) == 0 {
 				ctx.SetConnectionClose()
 			}
 		},
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -62,9 +62,13 @@
 	}
 }
 
-// ServeReadiness answers whether the program accepts requests: 200, or 503 with its phase.
+// ServeReadiness answers whether the program accepts requests at this address: 200, or 503 with its
+// phase.
 func ServeReadiness(ctx *fasthttp.RequestCtx, core *dispatch.Dispatcher) {
+	c, ok := ctx.Conn().(*Conn)
 	switch {
+	case ok && c.isRetired():
+		ctx.Error("not now: the address is not in use any more", fasthttp.StatusServiceUnavailable)
 	case core.Phases.AcceptsClients():
 	case !core.Phases.CanServe():
 		ctx.Error("not now: no replicas are known that could serve", fasthttp.StatusServiceUnavailable)
--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -292,6 +292,13 @@
 	return !c.removed
 }
 
+// isRetired reports whether the connection belongs to a Listener that was retired.
+func (c *Conn) isRetired() bool {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	return c.listener != nil && c.listener.retired
+}
+
 // requestHasBegun reports whether bytes of a request have been read since the last response.
 func (c *Conn) requestHasBegun() bool {
 	c.limiter.mu.Lock()
--- a/internal/front/port.go
+++ b/internal/front/port.go
@@ -144,7 +144,8 @@
 type Listener struct {
 	limiter   *ConnLimiter
 	openConns int  // connections that it has handed out; guarded by the limiter
-	draining  bool // each connection closes after its current request; guarded by the limiter
+	retired   bool // each response is the last on its connection; guarded by the limiter
+	draining  bool // idle connections are closed too; guarded by the limiter
 
 	addr      net.Addr
 	conns     chan net.Conn
@@ -179,6 +180,14 @@
 	return nil
 }
 
+// Retire makes each response the last on its connection. Idle connections stay open, as a client may
+// be about to send a request.
+func (l *Listener) Retire() {
+	l.limiter.mu.Lock()
+	l.retired = true
+	l.limiter.mu.Unlock()
+}
+
 const drainPollInterval = 10 * time.Millisecond
 
 // DrainConns closes the connections that the Listener has handed out, each after its current
--- a/internal/program/drain.go
+++ b/internal/program/drain.go
@@ -91,7 +91,6 @@
 	}
 	time.Sleep(time.Until(termAt.Add(min(keepAliveAfterTerm, p.current.answerBy()))))
 	err := p.current.finish()
-	p.finishing.Wait()
 	log.Print("stopped")
 	return err
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -1,9 +1,10 @@
-// Package program runs the dispatcher process from start to exit: the stack in force and the
-// listening ports that outlive it, configuration reload, hand-over to another stack, the admin
-// endpoint and the drain on shutdown. The phases are those of dispatch.Phases.
+// Package program runs the dispatcher process from start to exit: the core, the fronts and their
+// listening ports, configuration reload, the admin endpoint and the drain on shutdown. The phases
+// are those of dispatch.Phases.
 //
 //	program.go    the process and its main loop: signals, the console, reloads
-//	stack.go      everything that serves one configuration: a core, its discovery and its fronts
+//	stack.go      everything that serves clients: the core, its discovery and its fronts
+//	fronts.go     the fronts at the addresses of the configuration in force
 //	apply.go      how a configuration replaces the one before
 //	drain.go      the shutdown sequence from SIGTERM to exit
 //	admin.go      what the admin endpoint shows and does
@@ -21,7 +22,6 @@
 	"log"
 	"os"
 	"os/signal"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -31,29 +31,25 @@
 	"standpulley/internal/dispatch"
 	_ "standpulley/internal/earlyhup" // ignores SIGHUP until this program handles it
 	"standpulley/internal/front"
-	"standpulley/internal/front/chat"
 	"standpulley/internal/replica"
 )
 
-// program is the state of the process: the stack in force and the ports that outlive it.
+// program is the state of the process.
 type program struct {
 	ports map[string]*front.Port
-	// pool and limiter are shared by all stacks because their limits apply to the whole process.
-	pool      *replica.Pool
-	limiter   *front.ConnLimiter
-	current   *stack
-	live      atomic.Pointer[stack] // same as current, read by the admin endpoint
-	adminPort *front.Port           // port of the admin endpoint
-	adminAddr string
-	counts    dispatch.Counts // totals over all stacks
-	// instructions outlives all stacks: a repeat may come to another one than the first attempt.
-	instructions  *chat.Instructions
+	// The limits of pool and limiter apply to the whole process.
+	pool          *replica.Pool
+	limiter       *front.ConnLimiter
+	current       *stack
+	live          atomic.Pointer[stack] // same as current, read by the admin endpoint
+	adminPort     *front.Port           // port of the admin endpoint
+	adminAddr     string
+	counts        dispatch.Counts
 	applied       atomic.Int64 // configurations applied on SIGHUP
 	rejected      atomic.Int64 // configurations rejected on SIGHUP
 	operatorDrain atomic.Bool  // an operator has drained the program
 	// Another process may listen on the client address, so that a new version can take over.
 	shared    bool
-	finishing sync.WaitGroup    // replaced stacks that are still finishing their requests
 	draining  chan struct{}     // closed when the program starts to drain
 	sigtermAt time.Time         // when SIGTERM arrived; set before draining is closed
 	agreement *agreementAdapter // nil if dispatchers do not agree on settings
@@ -125,7 +121,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	p := &program{ports: map[string]*front.Port{}, pool: replica.NewPool(0, 0, 0), limiter: front.NewConnLimiter(0, 0),
-		instructions: chat.NewInstructions(), draining: make(chan struct{})}
+		draining: make(chan struct{})}
 	p.limiter.OnClose = func(cause dispatch.Cause, client string) { p.counts.Count(dispatch.ClientClosed, cause, client) }
 	go p.pool.Sweep(ctx)
 	if m == nil {
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -8,34 +8,32 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"standpulley/internal/config"
 	"standpulley/internal/discovery"
 	"standpulley/internal/dispatch"
-	"standpulley/internal/front"
 	"standpulley/internal/front/chat"
 	"standpulley/internal/front/once"
-	"standpulley/internal/front/platform"
-	"standpulley/internal/intentlog"
 	"standpulley/internal/replica"
 )
 
 const (
-	handOverTime   = 2 * time.Second // how long clients may still use connections of the replaced configuration
+	handOverTime   = 2 * time.Second // how long a replaced watch, and connections to a retired front, may still be used
 	releaseTimeout = time.Second     // longest wait before exit for replicas to release prefill state
 	bodyShare      = 0.25            // share of memory for the bodies of open requests
 )
 
-// stack is everything that serves one configuration: a core, its discovery and its fronts.
+// stack is everything that serves clients: the core, its discovery and the fronts. There is one for
+// the life of the process, so that all that a rule depends on outlives each configuration: the open
+// requests, what replicas hold for them, what was sent to replicas in slow start, the list.
 type stack struct {
 	cfg          config.Config
 	core         *dispatch.Dispatcher
+	pool         *replica.Pool
 	releaser     *replica.Releaser
-	platform     *platform.Front             // nil if not configured
-	chat         *chat.Front                 // nil if not configured
-	fronts       map[string]*fasthttp.Server // keyed by address
-	listeners    []*front.Listener           // listeners that the fronts accept from
+	ledger       once.Ledger        // nil if the dispatchers share none
+	instructions *chat.Instructions // used where they share none
+	fronts       map[string]*servedFront
+	retiring     sync.WaitGroup // fronts that still finish their requests
 	listReceived chan struct{}
 	ctx          context.Context // cancelled when the stack ends
 	cancel       context.CancelFunc
@@ -47,36 +45,23 @@
 }
 
 // newStack returns a stack that starts with the replicas in known. knownVersion is the version of
-// that list at its discovery service, or nil if the list did not come from there. The stack is not
-// yet open to clients.
-func newStack(cfg config.Config, known dispatch.Update, knownVersion *int64, pool *replica.Pool, counts *dispatch.Counts, lease dispatch.Lease, l *listMerger, k *intentlog.Service, instructions *chat.Instructions) (*stack, error) {
-	s := &stack{cfg: cfg, releaser: replica.NewReleaser(pool), fronts: map[string]*fasthttp.Server{}, listReceived: make(chan struct{}, 1),
-		stopWatch: func() {}, lists: l, knownVersion: knownVersion}
+// that list at its discovery service, or nil if the list did not come from there. The stack has no
+// fronts yet.
+func (p *program) newStack(cfg config.Config, known dispatch.Update, knownVersion *int64) (*stack, error) {
+	s := &stack{cfg: cfg, pool: p.pool, releaser: replica.NewReleaser(p.pool), instructions: chat.NewInstructions(), fronts: map[string]*servedFront{},
+		listReceived: make(chan struct{}, 1), stopWatch: func() {}, lists: p.lists(), knownVersion: knownVersion}
 	var err error
 	s.core, err = dispatch.New(cfg.Settings, cfg.Seed, known, s.releaser, bounds(cfg.Limits))
 	if err != nil {
 		return nil, err
 	}
-	s.core.Counts = counts
-	s.core.Prober = replica.Prober{Pool: pool}
-	if lease != nil {
-		s.core.SetLease(lease)
-	}
-	var ledger once.Ledger
-	if k != nil {
-		ledger = k
+	s.core.Counts = &p.counts
+	s.core.Prober = replica.Prober{Pool: p.pool}
+	if p.lease != nil {
+		s.core.SetLease(p.lease)
 	}
-	if cfg.Chat.Listen != "" {
-		f, err := chat.New(s.core, pool, cfg.Settings.Classes, instructions, chat.Options{Models: cfg.Chat.Models, MaxOutput: cfg.Chat.MaxOutput, Ledger: ledger})
-		if err != nil {
-			return nil, err
-		}
-		s.chat = f
-		s.fronts[cfg.Chat.Listen] = f.Server()
-	}
-	if cfg.Listen != "" {
-		s.platform = platform.New(s.core, pool, cfg.Settings, ledger)
-		s.fronts[cfg.Listen] = s.platform.Server()
+	if keeper := p.keeper(); keeper != nil {
+		s.ledger = keeper
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	go s.core.Run()
@@ -88,13 +73,8 @@
 	return dispatch.Bounds{Requests: l.Sockets / 2, Bytes: int(bodyShare * float64(l.MemoryMB<<20))}
 }
 
-// canApply reports whether the stack can continue under cfg. If so, learned values, held prefill
+// apply puts cfg in force, except for the addresses of the fronts. Learned values, held prefill
 // state and running requests are kept.
-func (s *stack) canApply(cfg config.Config) bool {
-	return s.cfg.Listen == cfg.Listen && reflect.DeepEqual(s.cfg.Chat, cfg.Chat)
-}
-
-// apply puts cfg in force on this stack; canApply must have returned true for it.
 func (s *stack) apply(cfg config.Config, lease dispatch.Lease) error {
 	if err := s.updateSettings(cfg, lease); err != nil {
 		return err
@@ -112,18 +92,13 @@
 }
 
 // updateSettings passes the settings to the core and the fronts. It may be called from any
-// goroutine.
+// goroutine, but not while fronts are replaced.
 func (s *stack) updateSettings(cfg config.Config, lease dispatch.Lease) error {
 	if err := s.core.UpdateSettings(cfg.Settings, bounds(cfg.Limits), lease); err != nil {
 		return err
 	}
-	if s.platform != nil {
-		s.platform.UpdateSettings(cfg.Settings)
-	}
-	if s.chat != nil {
-		if err := s.chat.UpdateClasses(cfg.Settings.Classes); err != nil { // config has checked that each model has a class
-			log.Printf("chat: %v", err)
-		}
+	for _, f := range s.fronts {
+		f.update(cfg)
 	}
 	return nil
 }
@@ -166,18 +141,6 @@
 	go w.Run(ctx)
 }
 
-// followDiscovery makes a stack that is finishing its requests get replica updates from the same
-// source as the configuration that replaced it, because its own discovery service may send no more
-// updates.
-func (s *stack) followDiscovery(cfg config.Config) {
-	if s.cfg.Discovery == cfg.Discovery && cfg.Discovery != "" {
-		return
-	}
-	own := s.cfg
-	own.Discovery, own.Known = cfg.Discovery, cfg.Known
-	s.watch(own)
-}
-
 // setWatching starts or stops the discovery watch. It is used where another dispatcher may read
 // discovery for this one.
 func (s *stack) setWatching(on bool) {
@@ -189,18 +152,9 @@
 	}
 }
 
-// open serves clients on the ports. The phase becomes ready when the first replica list has arrived
-// or wait has passed.
-func (s *stack) open(ports map[string]*front.Port, wait time.Duration) error {
-	for addr, server := range s.fronts {
-		ln := ports[addr].Attach()
-		s.listeners = append(s.listeners, ln)
-		go func() {
-			if err := server.Serve(ln); err != nil {
-				log.Printf("front at %s: %v", addr, err)
-			}
-		}()
-	}
+// awaitFirstList returns when the first list has come from discovery, or wait has passed, and lets
+// clients come.
+func (s *stack) awaitFirstList(wait time.Duration) error {
 	select {
 	case <-s.listReceived:
 	case <-time.After(wait):
@@ -210,21 +164,15 @@
 }
 
 // finish answers the requests that were accepted, releases prefill state that is held and ends the
-// stack. By then its ports are closed or belong to another stack.
+// stack. By then its ports are closed.
 func (s *stack) finish() error {
-	if s.core.Phases.Now() < dispatch.Leaving {
-		if err := s.core.Phases.Enter(dispatch.Leaving); err != nil {
-			return err
-		}
-	}
-	for _, ln := range s.listeners {
-		ln.DrainConns() // before Shutdown, which drops connections together with any request on them, read or not
+	if err := s.core.Phases.Enter(dispatch.Leaving); err != nil {
+		return err
 	}
-	for addr, server := range s.fronts {
-		if err := server.Shutdown(); err != nil {
-			log.Printf("front at %s: %v", addr, err)
-		}
+	for _, f := range s.fronts {
+		f.close()
 	}
+	s.retiring.Wait()
 	s.core.Phases.AwaitIdle()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
