Leave discovery calls open that are late, so that a slow service is heard

Cause: a call that was late was given up and made again with the same time-out, for ever.

Change: it stays open beside the next one; the next comes the sooner, the slower the answers are. Of answers that overtake each other the later version holds.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,18 +1,14 @@
 package discovery
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"log"
 	"math/rand/v2"
-	"net"
-	"sync"
+	"slices"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"standpulley/internal/dispatch"
 	"standpulley/logic"
 )
@@ -27,6 +23,11 @@
 //	call without answer   replyTimeout + reconnectDelay + dialTimeout
 //	rejected call         maxBackoff + dialTimeout
 //
+// A service that is slow can't be told from one that is silent. A call that is not answered in time
+// is therefore not given up: it stays open beside the next one, for up to answerTimeout. The slower
+// the answers are, the sooner the next call follows, so that a service that takes up to 5 s for each
+// tells a change in time.
+//
 // All dispatchers may lose discovery at the same moment. Where they share one service, the delays
 // that follow are randomised.
 const (
@@ -34,15 +35,22 @@
 	// A watch that is not answered counts as stalled after its wait plus a random delay between
 	// these two.
 	minStallDelay = 300 * time.Millisecond
-	maxStallDelay = time.Second
-	replyTimeout  = 2200 * time.Millisecond // for a call that does not wait, at a service that queues its callers
+	maxStallDelay = 850 * time.Millisecond
+	replyTimeout  = 800 * time.Millisecond // for a call that does not wait
 	// In push mode the agent answers at once and at no cost, and a change counts as known as soon
 	// as the agent has it when discovery returns. The dispatcher therefore asks a silent agent more
 	// often.
-	agentWait    = time.Second
-	agentTimeout = 600 * time.Millisecond
-	dialTimeout  = 250 * time.Millisecond
-	maxListBytes = 4 << 20
+	agentWait     = time.Second
+	agentTimeout  = 600 * time.Millisecond
+	dialTimeout   = 250 * time.Millisecond
+	answerTimeout = 8 * time.Second // for any call: a watch that waits, and an answer that takes 5 s
+	maxListBytes  = 4 << 20
+
+	listDeadline   = 6 * time.Second        // a change is told by then ...
+	deadlineMargin = 400 * time.Millisecond // ... with this much to spare for what is not measured
+	minInterval    = 500 * time.Millisecond // between calls that are not answered
+	// maxOutstanding bounds the calls, and so the connections, that are open at the same time.
+	maxOutstanding = 10
 
 	// The pause after a broken connection. The watch continues only if the next call comes within
 	// 200 ms.
@@ -65,68 +73,163 @@
 	OnUpdate     func(dispatch.Update)
 	OnResult     func(bool) // called after each call with whether it returned a usable list; may be nil
 
-	index int64 // version of the last list
-
-	mu   sync.Mutex // guards conn, which is closed from another goroutine when the context ends
-	conn net.Conn
-	br   *bufio.Reader
+	index       int64         // version of the last list
+	received    bool          // a list was received
+	next        callKind      // kind of the next call
+	timer       *time.Timer   // expires when the next call is due
+	newest      *call         // the call after whose answer the next one is made; nil: none
+	rejections  int           // calls in a row that were rejected
+	outstanding []*call       // calls that may still be answered, oldest first
+	latency     time.Duration // how long the last answer took
+	free        *agentConn    // a connection without a call; nil: none
+	results     chan result
 }
 
-// errUnusable reports that the agent was reached but did not answer with a usable list.
-var errUnusable = errors.New("no list")
+// callKind is what a call asks for.
+type callKind uint8
+
+const (
+	fullList callKind = iota
+	catchUp           // what has changed so far
+	watch             // what has changed or will change within the wait
+)
 
 // Run watches until ctx ends. It begins with the full list or, given KnownVersion, with the changes
 // since that version, and passes on the first answer even if nothing has changed. After a call
 // without an answer it first makes a call that does not wait, to fetch what it missed: a waiting
 // call that nobody answers is noticed only at the end of its wait.
 func (w *Watcher) Run(ctx context.Context) {
-	defer w.closeConn()
-	stop := context.AfterFunc(ctx, w.closeConn)
-	defer stop()
-	catchUp, first, rejected := true, true, 0
-	if w.KnownVersion != nil {
-		w.index = *w.KnownVersion
-	}
-	for ctx.Err() == nil {
-		path, limit := "/api/targets", w.replyTimeout()
-		switch {
-		case first && w.KnownVersion == nil: // the full list
-		case catchUp:
-			path += fmt.Sprintf("?index=%d&wait=0", w.index)
-		default:
-			path += fmt.Sprintf("?index=%d&wait=%d", w.index, w.watchWait().Milliseconds())
-			limit = w.watchTimeout()
-		}
-		list, err := w.call(path, limit)
-		if w.OnResult != nil && ctx.Err() == nil {
-			w.OnResult(err == nil)
+	ctx, cancel := context.WithCancel(ctx)
+	w.results = make(chan result)
+	defer func() {
+		cancel()
+		for len(w.outstanding) > 0 {
+			w.remove((<-w.results).call)
 		}
-		if err != nil {
+		w.keepFree(nil)
+	}()
+	if w.KnownVersion != nil {
+		w.index, w.next = *w.KnownVersion, catchUp
+	}
+	w.timer = time.NewTimer(0)
+	defer w.timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.timer.C:
+			w.startNext(ctx)
+		case r := <-w.results:
+			w.remove(r.call)
 			if ctx.Err() == nil {
-				log.Printf("discovery: %v", err)
+				w.handle(r)
 			}
-			w.closeConn()
-			wait := reconnectDelay
-			if errors.Is(err, errUnusable) {
-				// The agent is reachable. The next watch returns any change at once, so no catch-up call is
-				// needed.
-				wait = w.backoff(rejected)
-				rejected++
-			} else {
-				catchUp = true
-			}
-			pause(ctx, wait)
-			continue
-		}
-		rejected = 0
-		if list.Full || len(list.Servers) > 0 || first {
-			w.OnUpdate(list.Update())
 		}
-		w.index, catchUp, first = list.Version, false, false
 	}
 }
 
-// replyTimeout returns how long a call that does not wait may take.
+// startNext makes the call that is due. The newest one may be unanswered; it stays open.
+func (w *Watcher) startNext(ctx context.Context) {
+	if w.newest != nil {
+		w.report(fmt.Errorf("%s is not answered yet", w.newest.path))
+		w.catchUpNext()
+	}
+	w.newest = w.start(ctx, w.next)
+	w.timer.Reset(w.patience(w.next))
+}
+
+// catchUpNext makes the next call one that does not wait.
+func (w *Watcher) catchUpNext() {
+	if w.next == watch || w.received {
+		w.next = catchUp
+	}
+}
+
+// handle processes the result of a call and schedules the next one.
+func (w *Watcher) handle(r result) {
+	succeeded, rejected := r.err == nil && !r.call.abandoned, errors.Is(r.err, errUnusable)
+	if succeeded {
+		w.report(nil)
+		w.receive(r.call, r.list)
+	}
+	if r.call != w.newest && !rejected {
+		return // the newest call goes on
+	}
+	w.newest = nil
+	switch {
+	case succeeded:
+		w.next, w.rejections = watch, 0
+		w.timer.Reset(0)
+	case rejected:
+		// The agent is reachable. The next watch returns any change at once, so no catch-up call is
+		// needed.
+		w.report(r.err)
+		w.timer.Reset(w.backoff(w.rejections))
+		w.rejections++
+	default:
+		w.report(r.err)
+		w.catchUpNext()
+		w.timer.Reset(reconnectDelay)
+	}
+}
+
+// receive passes on the list that a call has returned, unless a later one is known. A version that
+// went back is believed only of a call that asked for what follows the list that is known.
+func (w *Watcher) receive(c *call, list List) {
+	w.latency = time.Since(c.started)
+	if list.Version == c.index {
+		w.latency -= w.wait(c.kind)
+	}
+	if list.Version <= w.index && c.index != w.index {
+		return
+	}
+	if list.Version < w.index {
+		w.abandonOutstanding() // they may still tell of later versions that are no more
+	}
+	if list.Full || len(list.Servers) > 0 || !w.received {
+		w.OnUpdate(list.Update())
+	}
+	w.index, w.received = list.Version, true
+}
+
+// report logs the failure of a call, nil if it succeeded, and tells OnResult.
+func (w *Watcher) report(err error) {
+	if err != nil {
+		log.Printf("discovery: %v", err)
+	}
+	if w.OnResult != nil {
+		w.OnResult(err == nil)
+	}
+}
+
+// patience returns how long a call may remain unanswered before the next one is made.
+func (w *Watcher) patience(kind callKind) time.Duration {
+	usual := w.replyTimeout()
+	if kind == watch {
+		usual = w.watchTimeout()
+	}
+	return max(min(usual, listDeadline-deadlineMargin-w.slowness()), minInterval)
+}
+
+// slowness returns how long the service takes for an answer, beside the time for which it was asked
+// to wait: as long as for the last one, or longer where a call is still outstanding.
+func (w *Watcher) slowness() time.Duration {
+	slowness := w.latency
+	for _, c := range w.outstanding {
+		slowness = max(slowness, time.Since(c.started)-w.wait(c.kind))
+	}
+	return slowness
+}
+
+// wait returns how long a call asks the agent to wait for changes.
+func (w *Watcher) wait(kind callKind) time.Duration {
+	if kind == watch {
+		return w.watchWait()
+	}
+	return 0
+}
+
+// replyTimeout returns how long a call that does not wait may take before the next one is made.
 func (w *Watcher) replyTimeout() time.Duration {
 	if w.PushMode {
 		return agentTimeout
@@ -154,65 +257,47 @@
 	return most/2 + rand.N(most/2)
 }
 
-// call makes one request over the persistent connection, which it opens if necessary.
-func (w *Watcher) call(path string, limit time.Duration) (List, error) {
-	w.mu.Lock()
-	c := w.conn
-	w.mu.Unlock()
-	if c == nil {
-		var err error
-		c, err = net.DialTimeout("tcp", w.Addr, dialTimeout)
-		if err != nil {
-			return List{}, err
-		}
-		w.mu.Lock()
-		w.conn, w.br = c, bufio.NewReaderSize(c, 16<<10)
-		w.mu.Unlock()
-	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(path)
-	req.Header.SetHost(w.Addr)
-	_ = c.SetDeadline(time.Now().Add(limit)) // an error shows up in the write below
-	bw := bufio.NewWriter(c)
-	if err := req.Write(bw); err != nil {
-		return List{}, err
-	}
-	if err := bw.Flush(); err != nil {
-		return List{}, err
+// start makes a call. If too many are outstanding, the oldest is given up.
+func (w *Watcher) start(ctx context.Context, kind callKind) *call {
+	if len(w.outstanding) >= maxOutstanding {
+		w.outstanding[0].cancel()
 	}
-	if err := resp.ReadLimitBody(w.br, maxListBytes); err != nil {
-		return List{}, err
+	path := "/api/targets"
+	if kind != fullList {
+		path += fmt.Sprintf("?index=%d&wait=%d", w.index, w.wait(kind).Milliseconds())
 	}
-	if resp.ConnectionClose() {
-		defer w.closeConn()
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return List{}, fmt.Errorf("%w: %s answered %d", errUnusable, path, resp.StatusCode())
-	}
-	list, err := Decode(resp.Body())
-	if err == nil {
-		err = list.CheckKinds(w.Kinds)
-	}
-	if err != nil {
-		return List{}, fmt.Errorf("%w: %s: %w", errUnusable, path, err)
+	c := &call{addr: w.Addr, path: path, kind: kind, index: w.index, started: time.Now(), conn: w.free, kinds: w.Kinds}
+	w.free = nil
+	ctx, c.cancel = context.WithCancel(ctx)
+	w.outstanding = append(w.outstanding, c)
+	go func() {
+		list, err := c.run(ctx)
+		w.results <- result{c, list, err}
+	}()
+	return c
+}
+
+// remove ends a call that has returned, and keeps its connection for the next one.
+func (w *Watcher) remove(c *call) {
+	c.cancel()
+	w.outstanding = slices.DeleteFunc(w.outstanding, func(o *call) bool { return o == c })
+	if c.conn != nil {
+		w.keepFree(c.conn)
 	}
-	return list, nil
 }
 
-func (w *Watcher) closeConn() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.conn != nil {
-		_ = w.conn.Close() // the connection is not used again
-		w.conn = nil
+// keepFree keeps a connection, nil for none, for the next call, in place of the one before.
+func (w *Watcher) keepFree(conn *agentConn) {
+	if w.free != nil {
+		_ = w.free.Close() // no call is on it
 	}
+	w.free = conn
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+// abandonOutstanding gives up all calls that were not answered yet.
+func (w *Watcher) abandonOutstanding() {
+	for _, c := range w.outstanding {
+		c.abandoned = true
+		c.cancel()
 	}
 }
