Close the connection of a client that has ended its sending, in place of an empty 200

What callers saw: a client that shuts down its sending behind a request and stays to read heard 200 with an empty body, whatever it had sent, also for an instruction that was not sent on.

Cause: the handler returned without an answer, and the HTTP library writes its default one, 200.

Change: front.EndWithoutResponse closes the connection before the handler returns; the same for the verdict ClientLeft.

--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -205,7 +205,7 @@
 			f.writeError(ctx, &requestError{fasthttp.StatusBadGateway, "upstream_error", "", a.Reason})
 		}
 	case dispatch.ClientLeft:
-		ctx.SetConnectionClose()
+		front.EndWithoutResponse(ctx)
 	}
 }
 
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -227,6 +227,14 @@
 	return nil
 }
 
+// EndWithoutResponse closes the connection of a request whose client has gone. The client may still
+// be reading, if it has only ended its sending. It must not take the server's default response,
+// which is 200, for an answer.
+func EndWithoutResponse(ctx *fasthttp.RequestCtx) {
+	ctx.SetConnectionClose()
+	_ = ctx.Conn().Close() // the server's write of the response fails
+}
+
 // hungUp reports whether the kernel has seen the client's close, even if data sent before it is
 // still unread.
 func (c *Conn) hungUp() bool {
@@ -450,8 +458,7 @@
 				return
 			}
 			if !c.markBusy() || c.ClientClosed() {
-				// The client has gone or the connection was evicted: nobody receives a response.
-				ctx.SetConnectionClose()
+				EndWithoutResponse(ctx) // the client has gone, or the connection was evicted
 				return
 			}
 			handler(ctx, body)
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -130,7 +130,7 @@
 	case dispatch.Failed:
 		ctx.Error(a.Reason, fasthttp.StatusBadGateway)
 	case dispatch.ClientLeft:
-		ctx.SetConnectionClose()
+		front.EndWithoutResponse(ctx)
 	}
 	front.SetSettingsHeader(ctx, a)
 }
