Let a stream pause for 4.75 s, as its client may wait for 5 s

What callers saw: a live stream whose events pause for 4 to 5 s was cut.

Change: 4.75 s; the rest is for the end to reach the client.

--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -13,10 +13,14 @@
 	"time"
 )
 
+// stallTimeout is the usual StallTimeout. A client may wait for at most 5 s after the last event of
+// an incomplete stream; a stream that pauses for less goes on. The rest is for the end to reach the
+// client.
+const stallTimeout = 4750 * time.Millisecond
+
 // Pool is a pool of connections to replicas. A connection carries one request at a time.
 type Pool struct {
-	// StallTimeout ends a stream without an event for this long. A client may wait for at most 5 s
-	// after the last event of an incomplete stream.
+	// StallTimeout ends a stream without an event for this long.
 	StallTimeout time.Duration
 
 	mu          sync.Mutex
@@ -85,7 +89,7 @@
 // NewPool returns a pool of at most maxOpen connections to replicas that close connections after
 // the given idle timeout. Defaults replace timeouts that are not positive.
 func NewPool(maxOpen int, idle, dialTimeout time.Duration) *Pool {
-	p := &Pool{StallTimeout: 4 * time.Second, idle: map[string][]*conn{}}
+	p := &Pool{StallTimeout: stallTimeout, idle: map[string][]*conn{}}
 	p.SetLimits(maxOpen, idle, dialTimeout)
 	return p
 }
