Remember the start of replicas that lists of changes keep listed

What callers saw: nothing yet; ten minutes after the last list that named it, a replica's known start was forgotten, and the next whole list made each replica older than the dispatcher count as just started, with the share of a cold one.

Cause: 'last listed' meant named by a list, and a list of changes names only what has changed.

Change: a replica that is in the list counts as listed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -273,7 +273,7 @@
 func (d *Dispatcher) UpdateServers(u Update) { d.post(u) }
 
 func (u Update) apply(d *Dispatcher) {
-	d.starts.listReceived(d.now())
+	d.starts.listReceived(d.now(), func(id string) bool { return d.servers[id] != nil })
 	d.applyList(u)
 }
 
--- a/internal/dispatch/starttime.go
+++ b/internal/dispatch/starttime.go
@@ -45,7 +45,7 @@
 type knownStartTime struct {
 	listed     time.Time     // wall-clock start time given in the list; zero: long ago
 	started    time.Duration // by the module's clock; 0: long ago
-	lastListed time.Duration // when a list last contained the replica
+	lastListed time.Duration // when the replica was last known to be listed
 }
 
 func newStartTimes(wall func() time.Time, now time.Duration) *startTimes {
@@ -78,9 +78,9 @@
 	return max(now-age, 0)
 }
 
-// listReceived records that a list came from discovery, and removes replicas that have not been
-// listed for long.
-func (s *startTimes) listReceived(now time.Duration) {
+// listReceived records that a list came from discovery, and removes replicas that left the list long
+// ago. A replica stays listed while lists of changes do not name it.
+func (s *startTimes) listReceived(now time.Duration, isListed func(id string) bool) {
 	if s.firstList == 0 {
 		s.firstList = now
 	}
@@ -89,7 +89,11 @@
 	}
 	s.lastSweep = now
 	for id, known := range s.known {
-		if now-known.lastListed > startRetention {
+		switch {
+		case isListed(id):
+			known.lastListed = now
+			s.known[id] = known
+		case now-known.lastListed > startRetention:
 			delete(s.known, id)
 		}
 	}
