Tell customers of the chat API apart that use one Idempotency-Key

What callers saw: the instruction of a second customer under the same key was answered 424 and not carried out.

Cause: the key of an instruction held the body's user, and not Authorization where there is no user.

Change: it holds the customer as the shared ledger's key does.

Measured: TestCustomersMayUseTheSameKey failed in 1 of 1 before (the second heard 424), passes; a repeat by either is still known.

--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -251,11 +251,11 @@
 	e.tailLen += copy(e.tail[e.tailLen:], p)
 }
 
-// instructionKey returns the key of an instruction: derived from the client's key if it sent one,
-// else from the request body.
+// instructionKey returns the key of an instruction: derived from the customer and the client's key
+// if it sent one, else from the request body. Two customers may use the same key.
 func (f *Front) instructionKey(h *fasthttp.RequestHeader, b *body, text []byte) (key uint64, named bool) {
 	if k := h.Peek(once.KeyHeader); len(k) > 0 {
-		return hash("key", b.User, string(k)), true
+		return hash("key", customerOf(h, b), string(k)), true
 	}
 	return hash("words", string(h.Peek("Authorization")), string(text)), false
 }
