Soak configurations in a row that change the chat object, discovery and classes in turn

Cause: the soak sent SIGHUP for other settings alone, so no run replaced fronts or moved discovery.

Change: every run has series of three files, 0 to 0.9 s apart, each with a SIGHUP: the chat API at a new address with a further model, discovery at a new address (the one before ends its connections 1.5 s later), a further class.

--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -40,7 +40,8 @@
 	log    string
 	agent  *fake.Agent
 
-	fileMu sync.Mutex // held while the configuration file is being changed
+	fileMu    sync.Mutex // held while the configuration file is being changed
+	discovery *Link      // address of discovery in the file, before the agent; nil: the agent's own. Guarded by fileMu
 
 	mu        sync.Mutex // guards the fields below
 	cmd       *exec.Cmd
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -92,6 +92,12 @@
 	stop := make(chan struct{})
 	go measureStall(stop, stall)
 	r.rec.Started = time.Now()
+	for _, c := range s.Reconfigurations {
+		r.faults.Go(func() {
+			time.Sleep(time.Until(r.rec.Started.Add(c.At)))
+			r.reconfigure(c)
+		})
+	}
 	for _, f := range s.Faults {
 		select {
 		case <-ctx.Done():
@@ -300,6 +306,9 @@
 func (r *run) close() {
 	for _, d := range r.dispatchers {
 		d.signal(syscall.SIGKILL)
+		if d.discovery != nil {
+			d.discovery.Close()
+		}
 		d.agent.Close()
 	}
 	for _, n := range r.nodes {
@@ -327,6 +336,9 @@
 	for _, f := range s.Faults {
 		fmt.Fprintln(&text, f)
 	}
+	for _, c := range s.Reconfigurations {
+		fmt.Fprintln(&text, c)
+	}
 	fmt.Fprintf(&text, "in the end %v, %.3f s apart, crowd %v\n", signalSeries(s.Shutdown.SignalSeries), s.Shutdown.Pause.Seconds(), s.Shutdown.IdleClients)
 	return text.String()
 }
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -17,7 +17,9 @@
 	Classes     []class
 	Length      time.Duration
 	Faults      []fault // in order of their start
-	Shutdown    shutdownPlan
+	// Reconfigurations are in order of their start.
+	Reconfigurations []reconfiguration
+	Shutdown         shutdownPlan
 }
 
 // shutdownPlan says how all dispatchers are stopped when Length is over, while clients keep sending
@@ -89,6 +91,7 @@
 		at += time.Duration(draw.Float64() * float64(800*time.Millisecond)) // shorter than most durations, so faults overlap
 	}
 	s.Shutdown = shutdownPlan{SignalSeries: draw.IntN(1 << 16), Pause: time.Duration(draw.Float64() * float64(signalPauseMax)), IdleClients: draw.Float64() < idleClientsShare}
+	s.Reconfigurations = reconfigurations(seed, length)
 	return s
 }
 
