Count chat bodies while they are decoded, and refuse those beyond a bound

Cause: between the bound on bodies being read and the one on open requests, a body and what decoding makes of it, many times its size, were counted by nobody, and the decoded messages were kept as long as the request.

Change: chat.DecodeBudget, 20% of the memory; beyond it 503 with Retry-After. Messages are let go once translated.

--- a/cmd/standpulley/configurations_test.go
+++ b/cmd/standpulley/configurations_test.go
@@ -26,6 +26,12 @@
 	Settings  map[string]any `json:"settings"`
 	Name      string         `json:"name"`
 	Seed      string         `json:"seed"`
+	Limits    *limitsSection `json:"limits,omitempty"`
+}
+
+type limitsSection struct {
+	MemoryMB int `json:"memory_mb"`
+	Sockets  int `json:"sockets"`
 }
 
 type chatSection struct {
--- /dev/null
+++ b/cmd/standpulley/crowd_test.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"standpulley/internal/fake"
+)
+
+// manyShortTurns is a chat completion of about 250 KB, a conversation of very short turns. Decoded,
+// it takes many times as much.
+func manyShortTurns() string {
+	const size = 250 << 10
+	var text strings.Builder
+	text.WriteString(`{"model":"ask","messages":[{"role":"user","content":"a"}`)
+	for text.Len() < size {
+		text.WriteString(`,{"role":"user","content":"a"}`)
+	}
+	text.WriteString("]}")
+	return text.String()
+}
+
+// peakMemory returns the most memory in bytes that a process had resident so far.
+func peakMemory(t *testing.T, pid int) int {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, line, _ := strings.Cut(string(status), "VmHWM:")
+	kb, err := strconv.Atoi(strings.Fields(line)[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return kb << 10
+}
+
+// TestCrowdOfChatBodiesStaysInMemory guards against the memory of bodies between their last byte and
+// the core: a crowd of conversations of very short turns took the program over its limit. The
+// program is built without the race detector, which multiplies its memory.
+func TestCrowdOfChatBodiesStaysInMemory(t *testing.T) {
+	const crowd, tries = 150, 7
+	binary := filepath.Join(t.TempDir(), "standpulley")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for _, memoryMB := range []int{96, 192} {
+		t.Run(fmt.Sprintf("%d MB", memoryMB), func(t *testing.T) {
+			file := newSiteFile(t, startAgent(t, startFleet(t, func(x *fake.Exchange) { x.Answer("done") })...).Addr)
+			file.Limits = &limitsSection{MemoryMB: memoryMB, Sockets: 512}
+			path := filepath.Join(t.TempDir(), "config.json")
+			text, err := jsoniter.Marshal(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(path, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			cmd, out := exec.Command(binary), &outputBuffer{}
+			cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path)
+			cmd.Stdout, cmd.Stderr = out, out
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = cmd.Process.Kill() }) // it may have ended already
+			waitFor(t, "a ready program", func() bool { return strings.Contains(out.String(), "n0: ready") })
+
+			body := manyShortTurns()
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 30 * time.Second}
+			var served, refused, unanswered atomic.Int64
+			var senders sync.WaitGroup
+			for range crowd {
+				senders.Go(func() {
+					for range tries {
+						resp, err := client.Post("http://"+file.Chat.Listen+"/v1/chat/completions", "application/json", strings.NewReader(body))
+						if err != nil {
+							unanswered.Add(1)
+							continue
+						}
+						_, _ = io.Copy(io.Discard, resp.Body)
+						_ = resp.Body.Close()
+						if resp.StatusCode != http.StatusServiceUnavailable {
+							served.Add(1)
+							return
+						}
+						refused.Add(1)
+						if resp.Header.Get("Retry-After") == "" {
+							t.Error("a refusal without Retry-After")
+						}
+					}
+				})
+			}
+			for n := range 10 { // usual clients beside the crowd
+				if status, text, err := readResponse(t, sendRequest(t, file.Listen, n+1)); err != nil || status != 200 && status != 503 {
+					t.Errorf("usual request %d: %d %q %v", n+1, status, text, err)
+				}
+			}
+			senders.Wait()
+			peak := peakMemory(t, cmd.Process.Pid)
+			t.Logf("%d served, %d refused, %d unanswered, peak %d MB", served.Load(), refused.Load(), unanswered.Load(), peak>>20)
+			if peak >= memoryMB<<20 {
+				t.Errorf("%d MB resident, limit %d MB", peak>>20, memoryMB)
+			}
+			if served.Load() == 0 {
+				t.Error("none of the crowd was served")
+			}
+		})
+	}
+}
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -36,6 +36,10 @@
 	// automatically retry 408, 409, 429, everything from 500 on, and broken connections. They do
 	// not retry this status, and X-Should-Retry repeats that for libraries that read it.
 	statusMayHaveRun = fasthttp.StatusFailedDependency
+
+	// decodeRetryAfter is the retry advice where too many bodies are being decoded. Each takes some
+	// milliseconds.
+	decodeRetryAfter = time.Second
 )
 
 // Options are set by the operator.
@@ -46,12 +50,18 @@
 
 // Front serves clients of the chat API.
 type Front struct {
-	core         *dispatch.Dispatcher
-	pool         *replica.Pool
-	ledger       once.Ledger // shared by the dispatchers; nil: the instructions of this process are used
-	instructions *Instructions
-	models       atomic.Pointer[models]
-	json         jsoniter.API
+	core   *dispatch.Dispatcher
+	pool   *replica.Pool
+	shared Shared
+	models atomic.Pointer[models]
+	json   jsoniter.API
+}
+
+// Shared is what all chat fronts of a process share.
+type Shared struct {
+	Instructions *Instructions
+	Decoding     *DecodeBudget
+	Ledger       once.Ledger // shared by the dispatchers, in place of Instructions; nil: none
 }
 
 // models are what the front takes from the configuration in force.
@@ -60,10 +70,9 @@
 	maxOutput int64                  // in tokens, for requests without a limit
 }
 
-// New returns the front of a core; its requests are sent over the pool's connections. All chat
-// fronts of a process use the same instructions, unless the dispatchers share a ledger.
-func New(core *dispatch.Dispatcher, pool *replica.Pool, classes []logic.Class, instructions *Instructions, ledger once.Ledger, set Options) (*Front, error) {
-	f := &Front{core: core, pool: pool, instructions: instructions, ledger: ledger, json: jsoniter.ConfigCompatibleWithStandardLibrary}
+// New returns the front of a core; its requests are sent over the pool's connections.
+func New(core *dispatch.Dispatcher, pool *replica.Pool, classes []logic.Class, shared Shared, set Options) (*Front, error) {
+	f := &Front{core: core, pool: pool, shared: shared, json: jsoniter.ConfigCompatibleWithStandardLibrary}
 	return f, f.Update(classes, set)
 }
 
@@ -113,6 +122,12 @@
 // complete processes a completion request from its body to its final response. It returns an error
 // for a request that is rejected before it reaches the core.
 func (f *Front) complete(ctx *fasthttp.RequestCtx, text []byte, received time.Time) error {
+	decoded, ok := f.shared.Decoding.reserve(len(text))
+	if !ok {
+		f.writeOverloaded(ctx, decodeRetryAfter, "too many bodies are being decoded")
+		return nil
+	}
+	defer decoded()
 	b, err := parse(text)
 	if err != nil {
 		return err
@@ -126,6 +141,7 @@
 	if err != nil {
 		return err
 	}
+	b.Messages = nil // takes several times the memory of the body, and is not needed any more
 	h := &ctx.Request.Header
 	spec.Remaining = clientTimeout(h, class, spec.PromptTokens)
 	spec.Retried = isRetry(h)
@@ -140,8 +156,8 @@
 	done := func(mayHaveRun bool) {}
 	var recorder dispatch.IntentRecorder
 	switch {
-	case class.Repeat == logic.Unsafe && f.ledger != nil:
-		recorder, err = once.Admit(f.ledger, h, customerOf(h, b), text, spec.Retried, received.Add(spec.Remaining))
+	case class.Repeat == logic.Unsafe && f.shared.Ledger != nil:
+		recorder, err = once.Admit(f.shared.Ledger, h, customerOf(h, b), text, spec.Retried, received.Add(spec.Remaining))
 		if intentlog.MayHaveRun(err) {
 			f.writeMayHaveRun(ctx, err.Error())
 			return nil
@@ -151,7 +167,7 @@
 		}
 	case class.Repeat != logic.Safe:
 		key, named := f.instructionKey(h, b, text)
-		known, full := f.instructions.begin(key, named || spec.Retried)
+		known, full := f.shared.Instructions.begin(key, named || spec.Retried)
 		switch {
 		case known:
 			f.writeMayHaveRun(ctx, "this instruction was taken before and may have run: it is not sent again")
@@ -160,11 +176,12 @@
 			f.writeOverloaded(ctx, time.Second, "too many instructions are remembered")
 			return nil
 		}
-		done = func(mayHaveRun bool) { f.instructions.finish(key, mayHaveRun) }
+		done = func(mayHaveRun bool) { f.shared.Instructions.finish(key, mayHaveRun) }
 	}
 	t := f.core.Submit(dispatch.Request{ID: id, Spec: spec, Received: received, ClientGone: front.ClientGone(ctx), Size: len(text), Intents: recorder, Payload: &replica.Request{
 		Pool: f.pool, ID: id, Method: fasthttp.MethodPost, URI: completionsPath, Host: string(h.Host()), Body: text,
 		Headers: upstreamHeaders(spec, h)}})
+	decoded()
 	a, stop := front.AwaitAnswer(ctx, t)
 	done(a.MayRun || a.Verdict == dispatch.Served)
 	f.writeAnswer(ctx, t, a, stop, b, class)
--- a/internal/front/chat/chat_test.go
+++ b/internal/front/chat/chat_test.go
@@ -25,10 +25,16 @@
 
 var options = Options{Models: map[string]string{"ask": "enquiry", "act": "instruction"}, MaxOutput: 400}
 
+func newShared() Shared {
+	decoding := &DecodeBudget{}
+	decoding.SetLimit(64 << 20)
+	return Shared{Instructions: NewInstructions(), Decoding: decoding}
+}
+
 func start(t *testing.T, read func(*fake.Exchange), writes ...func(*fake.Exchange)) (*fronttest.Rig, string) {
 	t.Helper()
 	rig := fronttest.Start(t, read, writes...)
-	f, err := New(rig.Core, rig.Pool, fronttest.Settings().Classes, NewInstructions(), nil, options)
+	f, err := New(rig.Core, rig.Pool, fronttest.Settings().Classes, newShared(), options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -410,7 +416,7 @@
 
 func TestModelsMustNameKnownClasses(t *testing.T) {
 	rig := fronttest.Start(t, fronttest.HealthyReader)
-	if _, err := New(rig.Core, rig.Pool, fronttest.Settings().Classes, NewInstructions(), nil, Options{Models: map[string]string{"m": "none"}}); err == nil || !strings.Contains(err.Error(), "chat.models.m") {
+	if _, err := New(rig.Core, rig.Pool, fronttest.Settings().Classes, newShared(), Options{Models: map[string]string{"m": "none"}}); err == nil || !strings.Contains(err.Error(), "chat.models.m") {
 		t.Errorf("got %v", err)
 	}
 	_ = platform.New(rig.Core, rig.Pool, fronttest.Settings(), nil) // both fronts can serve one core
--- a/internal/front/halfclose_test.go
+++ b/internal/front/halfclose_test.go
@@ -41,7 +41,7 @@
 func startFronts(t *testing.T, rig *fronttest.Rig) (ports map[string]*front.Port, attach func()) {
 	t.Helper()
 	set := fronttest.Settings()
-	c, err := chat.New(rig.Core, rig.Pool, set.Classes, chat.NewInstructions(), nil, chat.Options{Models: map[string]string{"ask": "enquiry", "act": "instruction"}, MaxOutput: 400})
+	c, err := chat.New(rig.Core, rig.Pool, set.Classes, chat.Shared{Instructions: chat.NewInstructions(), Decoding: &chat.DecodeBudget{}}, chat.Options{Models: map[string]string{"ask": "enquiry", "act": "instruction"}, MaxOutput: 400})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/program/apply.go
+++ b/internal/program/apply.go
@@ -23,6 +23,7 @@
 	// How long a start waits for discovery, because the configured list may be outdated.
 	firstListTimeout = 500 * time.Millisecond
 	bodyReadShare    = 0.1 // share of memory for request bodies that are still being read
+	decodeShare      = 0.2 // share of memory for bodies of the chat API that are being decoded
 )
 
 // apply puts a configuration in force. On an error the previous one stays in force unchanged.
@@ -132,6 +133,7 @@
 func (p *program) limit(cfg config.Config) {
 	clients, replicas := share(cfg.Limits.Sockets)
 	p.limiter.SetLimits(clients, int(bodyReadShare*float64(cfg.Limits.MemoryMB<<20)))
+	p.decoding.SetLimit(int(decodeShare * float64(cfg.Limits.MemoryMB<<20)))
 	p.pool.SetLimits(replicas, cfg.Settings.ConnIdle, cfg.Settings.ConnectTimeout)
 	runtime.GOMAXPROCS(max(int(cfg.Limits.Cores+0.5), 1))
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
--- a/internal/program/apply_test.go
+++ b/internal/program/apply_test.go
@@ -9,6 +9,7 @@
 
 	"standpulley/internal/config"
 	"standpulley/internal/front"
+	"standpulley/internal/front/chat"
 	"standpulley/internal/replica"
 )
 
@@ -49,12 +50,12 @@
 // core's, and one core serves under every configuration. A configuration whose address can't be
 // opened changes nothing.
 func TestCoreOutlivesConfigurations(t *testing.T) {
-	p := &program{pool: replica.NewPool(0, 0, 0), limiter: front.NewConnLimiter(0, 0), draining: make(chan struct{})}
+	p := &program{decoding: &chat.DecodeBudget{}, pool: replica.NewPool(0, 0, 0), limiter: front.NewConnLimiter(0, 0), draining: make(chan struct{})}
 	site := testSite{listen: freeAddr(t), chat: freeAddr(t), models: `"ask":"enquiry"`, deadlineUS: 1000000, class: "instruction"}
 	if err := p.apply(site.parse(t)); err != nil {
 		t.Fatal(err)
 	}
-	core, instructions := p.current.core, p.current.instructions
+	core, instructions := p.current.core, p.current.chat.Instructions
 	for name, change := range map[string]func(*testSite){
 		"model":             func(s *testSite) { s.models += `,"act":"enquiry"` },
 		"class":             func(s *testSite) { s.class += "-2" },
@@ -68,7 +69,7 @@
 		if err := p.apply(site.parse(t)); err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
-		if p.current.core != core || p.current.instructions != instructions {
+		if p.current.core != core || p.current.chat.Instructions != instructions {
 			t.Errorf("%s: another core or memory of instructions serves", name)
 		}
 		if len(p.ports) != 2 || p.ports[site.listen] == nil || p.ports[site.chat] == nil ||
--- a/internal/program/fronts.go
+++ b/internal/program/fronts.go
@@ -48,11 +48,11 @@
 func (s *stack) newFront(addr string, speaks protocol, cfg config.Config) (*servedFront, error) {
 	f := &servedFront{addr: addr, protocol: speaks}
 	if speaks == platformProtocol {
-		p := platform.New(s.core, s.pool, cfg.Settings, s.ledger)
+		p := platform.New(s.core, s.pool, cfg.Settings, s.chat.Ledger)
 		f.server, f.update = p.Server(), func(cfg config.Config) { p.UpdateSettings(cfg.Settings) }
 		return f, nil
 	}
-	c, err := chat.New(s.core, s.pool, cfg.Settings.Classes, s.instructions, s.ledger, chatOptions(cfg))
+	c, err := chat.New(s.core, s.pool, cfg.Settings.Classes, s.chat, chatOptions(cfg))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -12,7 +12,6 @@
 	"standpulley/internal/discovery"
 	"standpulley/internal/dispatch"
 	"standpulley/internal/front/chat"
-	"standpulley/internal/front/once"
 	"standpulley/internal/replica"
 )
 
@@ -30,8 +29,7 @@
 	core         *dispatch.Dispatcher
 	pool         *replica.Pool
 	releaser     *replica.Releaser
-	ledger       once.Ledger        // nil if the dispatchers share none
-	instructions *chat.Instructions // used where they share none
+	chat         chat.Shared
 	fronts       map[string]*servedFront
 	retiring     sync.WaitGroup // fronts that still finish their requests
 	listReceived chan struct{}
@@ -48,7 +46,7 @@
 // that list at its discovery service, or nil if the list did not come from there. The stack has no
 // fronts yet.
 func (p *program) newStack(cfg config.Config, known dispatch.Update, knownVersion *int64) (*stack, error) {
-	s := &stack{cfg: cfg, pool: p.pool, releaser: replica.NewReleaser(p.pool), instructions: chat.NewInstructions(), fronts: map[string]*servedFront{},
+	s := &stack{cfg: cfg, pool: p.pool, releaser: replica.NewReleaser(p.pool), chat: chat.Shared{Instructions: chat.NewInstructions(), Decoding: p.decoding}, fronts: map[string]*servedFront{},
 		listReceived: make(chan struct{}, 1), stopWatch: func() {}, lists: p.lists(), knownVersion: knownVersion}
 	var err error
 	s.core, err = dispatch.New(cfg.Settings, cfg.Seed, known, s.releaser, bounds(cfg.Limits))
@@ -61,7 +59,7 @@
 		s.core.SetLease(p.lease)
 	}
 	if keeper := p.keeper(); keeper != nil {
-		s.ledger = keeper
+		s.chat.Ledger = keeper
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	go s.core.Run()
