Copy the list in the test of configurations in a row, as earlier agents still hold it

Cause: a step changed an entry in the array that the agents of the steps before were encoding: a race of the test's own.

Change: the step copies the list first.

--- a/cmd/standpulley/configurations_test.go
+++ b/cmd/standpulley/configurations_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -259,6 +260,7 @@
 	s.file.addClass(fmt.Sprintf("new-%d", n))
 	s.reload(t)
 	previous.SetUnresponsive(true)
+	s.entries = slices.Clone(s.entries) // the agents before still hold the list
 	entry := &s.entries[2+n]
 	entry.State = "terminating"
 	s.agent.Set(s.entries...)
