--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/second"
 mkdir -p bin
-go build -o bin/ ./trial
+GOPROXY=off GOWORK=off go build -buildvcs=false -o bin/ ./trial
