--- a/review/second/trial/process.go
+++ b/review/second/trial/process.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -119,12 +120,17 @@
 	return text
 }
 
-// freeAddr returns a loopback address that nobody uses.
+// freeAddr returns a loopback address that nobody uses. Its port lies below those that the system gives
+// to outgoing connections and to the stand-ins.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err, "a free port")
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.N(12000)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+	panic(cannotRun{"no free port"})
 }
 
 func writeJSON(path string, v any) string {
