--- a/cmd/proving/soak.go
+++ b/cmd/proving/soak.go
@@ -77,6 +77,9 @@
 			break
 		}
 		text += "    " + finding.String() + "\n"
+		if i == 0 {
+			text += soak.Trace(rec, finding)
+		}
 	}
 	if len(findings) == 0 || keep == "" {
 		_ = os.RemoveAll(folder) // a leftover temporary folder does no harm
--- a/cmd/standpulley/soak_test.go
+++ b/cmd/standpulley/soak_test.go
@@ -22,7 +22,7 @@
 		findings, figures := soak.Judge(rec)
 		t.Logf("seed %d: %+v", seed, figures)
 		for _, f := range findings {
-			t.Errorf("seed %d: %v", seed, f)
+			t.Errorf("seed %d: %v\n%s", seed, f, soak.Trace(rec, f))
 		}
 		if len(findings) > 0 {
 			t.Logf("%s", scenario.Describe())
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -336,7 +336,8 @@
 			// The protocol lets SIGTERM end a process that is not ready: it has accepted no request.
 			case l.Signal == syscall.SIGTERM && l.Ready.IsZero():
 			case l.TermSent.IsZero() || l.ExitCode != 0:
-				j.addFinding(RuleCrash, "%s, process %d, exited at %s with code %d, SIGTERM at %s", name, i, j.sinceStart(l.Exited), l.ExitCode, j.sinceStart(l.TermSent))
+				j.addFinding(RuleCrash, "%s, process %d, exited at %s with code %d, SIGTERM at %s; its last lines: %s", name, i, j.sinceStart(l.Exited), l.ExitCode,
+					j.sinceStart(l.TermSent), lastLines(j.Logs[name]))
 			}
 		}
 		for line := range strings.Lines(j.Logs[name]) {
@@ -346,3 +347,11 @@
 		}
 	}
 }
+
+// lastLines returns the end of a dispatcher's log on one line. Where a process exited by itself, it
+// has the reason.
+func lastLines(log string) string {
+	const count = 8
+	lines := strings.Split(strings.TrimSpace(log), "\n")
+	return strings.Join(lines[max(len(lines)-count, 0):], " | ")
+}
