Derive every bound from the memory limit, and count a body until its request has ended

Callers saw a dispatcher that was killed: hundreds of clients that waited, wrote or read slowly took it over the least memory that it is given.

Cause: connections and open requests were bounded by descriptors alone. With 32 MB and 1,024 descriptors 460 connections with 512 open requests were let in, at some 45 to 70 KB each beside 18 MB at rest. The body of a request was counted while it was read and again once the core had it, by nobody in between. An answer of the chat API that is assembled for its client was not counted at all. Go's own limit left no room for the pages of the executable.

A body counts until the core has it, a payload from its submission on, an answer in one piece before its request is sent. A stream's buffer begins at 4 KB in place of 16.

--- a/cmd/standpulley/crowd_test.go
+++ b/cmd/standpulley/crowd_test.go
@@ -5,8 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,8 +12,6 @@
 	"testing"
 	"time"
 
-	jsoniter "github.com/json-iterator/go"
-
 	"standpulley/internal/fake"
 )
 
@@ -52,30 +48,11 @@
 // program is built without the race detector, which multiplies its memory.
 func TestCrowdOfChatBodiesStaysInMemory(t *testing.T) {
 	const crowd, tries = 150, 7
-	binary := filepath.Join(t.TempDir(), "standpulley")
-	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
-	for _, memoryMB := range []int{96, 192} {
+	for _, memoryMB := range []int{leastMemoryMB, 96, 192} {
 		t.Run(fmt.Sprintf("%d MB", memoryMB), func(t *testing.T) {
-			file := newSiteFile(t, startAgent(t, startFleet(t, func(x *fake.Exchange) { x.Answer("done") })...).Addr)
-			file.Limits = &limitsSection{MemoryMB: memoryMB, Sockets: 512}
-			path := filepath.Join(t.TempDir(), "config.json")
-			text, err := jsoniter.Marshal(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := os.WriteFile(path, text, 0o600); err != nil {
-				t.Fatal(err)
-			}
-			cmd, out := exec.Command(binary), &outputBuffer{}
-			cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path)
-			cmd.Stdout, cmd.Stderr = out, out
-			if err := cmd.Start(); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = cmd.Process.Kill() }) // it may have ended already
-			waitFor(t, "a ready program", func() bool { return strings.Contains(out.String(), "n0: ready") })
+			list := startFleet(t, func(x *fake.Exchange) { x.Answer("done") })
+			p := startLimited(t, memoryMB, 512, list...)
+			file := p.file
 
 			body := manyShortTurns()
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 30 * time.Second}
@@ -108,11 +85,8 @@
 				}
 			}
 			senders.Wait()
-			peak := peakMemory(t, cmd.Process.Pid)
-			t.Logf("%d served, %d refused, %d unanswered, peak %d MB", served.Load(), refused.Load(), unanswered.Load(), peak>>20)
-			if peak >= memoryMB<<20 {
-				t.Errorf("%d MB resident, limit %d MB", peak>>20, memoryMB)
-			}
+			t.Logf("%d served, %d refused, %d unanswered", served.Load(), refused.Load(), unanswered.Load())
+			p.checkLimits(t)
 			if served.Load() == 0 {
 				t.Error("none of the crowd was served")
 			}
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -16,7 +16,8 @@
 	deadline        time.Time
 	class           *logic.Class
 	payload         Payload
-	size            int
+	size            int  // bytes
+	hasSpace        bool // space for the payload is reserved
 	resumable       bool
 	intents         IntentRecorder
 	ticket          *Ticket
@@ -56,7 +57,7 @@
 func (d *Dispatcher) admit(r *request) {
 	d.Counts.countTaken(r)
 	if r.answered { // the client left before the request was admitted
-		r.payload = nil
+		d.dropPayload(r)
 		return
 	}
 	for i := range d.settings.Classes {
@@ -73,7 +74,7 @@
 		d.answer(r, Answer{Verdict: Refused, RetryAfter: fullRetryAfter, Reason: "the program ends"})
 	case r.waitedTooLong && !r.spec.Resumed:
 		d.answer(r, Answer{Verdict: Refused, RetryAfter: fullRetryAfter, Reason: "too many requests wait to be decided"})
-	case len(d.requests) >= d.bounds.Requests || d.openBytes+r.size > d.bounds.Bytes:
+	case len(d.requests) >= d.bounds.Requests || !r.hasSpace:
 		d.answer(r, Answer{Verdict: Refused, RetryAfter: fullRetryAfter, Reason: "too many requests are open"})
 	case d.lease != nil:
 		if err := d.lease.MayAdmit(Admission{r.class.Name, r.spec.Tenant, r.spec.Retried, r.class.Repeat == logic.Unsafe}); err != nil {
@@ -81,7 +82,7 @@
 		}
 	}
 	if r.answered {
-		r.payload = nil
+		d.dropPayload(r)
 		return
 	}
 	r.inFlight = map[int]*attempt{}
@@ -89,7 +90,6 @@
 	// Ended by forgetIfDone once the request is answered, has no attempt in flight and no release
 	// pending.
 	d.Phases.begin()
-	d.openBytes += r.size
 	r.deadline = r.received.Add(r.spec.Remaining)
 	// Part of the time may have passed before the request got here.
 	r.spec.Remaining = max(r.deadline.Sub(d.clock()), 0)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -151,7 +151,7 @@
 	actions          []logic.Action
 	events           []logic.Event // being routed; actions that end at once append further ones
 	bounds           Bounds
-	openBytes        int // sum of the payload sizes of the open requests
+	payloads         payloadSpace // safe for concurrent use
 	lease            Lease
 	admissionStopped bool // all new requests are refused
 	overload         overload
@@ -181,6 +181,7 @@
 	d := &Dispatcher{Phases: newPhases(), Counts: &Counts{}, settings: settings, router: router, releaser: releaser,
 		clock: time.Now, inbox: newInbox(), done: make(chan struct{}),
 		abandoned: map[string]*abandonedReads{}, requests: map[string]*request{}, servers: map[string]*Server{}, bounds: bounds.cappedBy(settings)}
+	d.payloads.limit.Store(int64(bounds.Bytes))
 	d.Delays = &Delays{windowStart: time.Now(), queued: d.inbox.queued}
 	d.sampleSeed = maphash.MakeSeed()
 	d.startedAt = d.clock()
@@ -214,6 +215,7 @@
 	err := d.router.UpdateSettings(q.settings)
 	if err == nil {
 		d.settings, d.bounds, d.releaseRanking = q.settings, q.bounds.cappedBy(q.settings), nil
+		d.payloads.limit.Store(int64(q.bounds.Bytes))
 		d.Phases.setCanServe(d.canServe())
 		if q.lease != nil {
 			d.SetLease(q.lease)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -418,7 +418,7 @@
 	if grown := int64(heap[7]) - int64(heap[3]); grown > 100<<10 {
 		t.Errorf("heap grew by %d bytes in four further rounds: %v", grown, heap)
 	}
-	if len(d.requests) != 0 || d.openBytes != 0 || len(d.timers) > 100 {
-		t.Errorf("%d requests of %d bytes and %d timers are kept", len(d.requests), d.openBytes, len(d.timers))
+	if len(d.requests) != 0 || d.payloads.used.Load() != 0 || len(d.timers) > 100 {
+		t.Errorf("%d requests of %d bytes and %d timers are kept", len(d.requests), d.payloads.used.Load(), len(d.timers))
 	}
 }
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -120,9 +120,7 @@
 func (d *Dispatcher) forgetIfDone(r *request) {
 	if d.mayForget(r) {
 		delete(d.requests, r.id)
-		d.openBytes -= r.size
-		// Timers still refer to the request for a while and must not keep its body in memory.
-		r.payload = nil
+		d.dropPayload(r)
 		// This is needed after an answer too: the read may end at its replica after the fetch that
 		// released everything else.
 		if r.orphaned {
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -80,6 +80,9 @@
 	t := &Ticket{dispatcher: d, answer: make(chan Answer, 1), finished: make(chan struct{})}
 	t.request = &request{id: q.ID, spec: q.Spec, received: q.Received, payload: q.Payload, size: q.Size, resumable: q.Resumable, intents: q.Intents, ticket: t,
 		checkClientGone: q.ClientGone}
+	if t.request.hasSpace = d.payloads.reserve(q.Size); !t.request.hasSpace {
+		t.request.payload = nil // not before the core refuses the request: the core may be behind
+	}
 	d.Phases.begin()
 	d.Counts.addOpen(1)
 	d.post(arrival{t.request})
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -178,7 +178,11 @@
 		}
 		done = func(mayHaveRun bool) { f.shared.Instructions.finish(key, mayHaveRun) }
 	}
-	t := f.core.Submit(dispatch.Request{ID: id, Spec: spec, Received: received, ClientGone: front.ClientGone(ctx), Size: len(text), Intents: recorder, Payload: &replica.Request{
+	size := len(text)
+	if !b.Stream {
+		size += answerBytes(spec)
+	}
+	t := f.core.Submit(dispatch.Request{ID: id, Spec: spec, Received: received, ClientGone: front.ClientGone(ctx), Size: size, Intents: recorder, Payload: &replica.Request{
 		Pool: f.pool, ID: id, Method: fasthttp.MethodPost, URI: completionsPath, Host: string(h.Host()), Body: text,
 		Headers: upstreamHeaders(spec, h)}})
 	decoded()
--- a/internal/front/chat/collect.go
+++ b/internal/front/chat/collect.go
@@ -9,12 +9,23 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"standpulley/internal/dispatch"
+	"standpulley/logic"
 )
 
 // maxAnswer bounds the size of the replica's stream when it is assembled for a client that does not
 // stream.
 const maxAnswer = 256 << 10
 
+// answerCopies is how often an assembled answer is in memory: as it grows, as JSON and in the
+// response.
+const answerCopies = 3
+
+// answerBytes returns the memory of an answer that is assembled, by the longest output that the
+// request asks for.
+func answerBytes(spec logic.Request) int {
+	return answerCopies * charsPerToken * int(min(spec.MaxOutput, maxAnswer/charsPerToken))
+}
+
 // completion is a non-streaming response of the API.
 type completion struct {
 	ID      string              `json:"id"`
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -319,6 +319,7 @@
 	stop = func() {}
 	clientClosed := make(chan struct{})
 	if c, ok := ctx.Conn().(*Conn); ok {
+		c.releaseBody() // the core has it by now
 		stop = c.WatchClose(func() { close(clientClosed) })
 	}
 	select {
@@ -385,7 +386,7 @@
 type Handler func(ctx *fasthttp.RequestCtx, body []byte)
 
 // readBody reads the body of a request within the limiter's bound. fasthttp itself would allocate
-// as much as the header announces, whatever arrives.
+// as much as the header announces, whatever arrives. The body counts until releaseBody.
 func (c *Conn) readBody(ctx *fasthttp.RequestCtx, limit int) ([]byte, error) {
 	stream, size := ctx.RequestBodyStream(), ctx.Request.Header.ContentLength()
 	switch {
@@ -394,7 +395,7 @@
 	case size > limit:
 		return nil, fasthttp.ErrBodyTooLarge
 	}
-	defer c.releaseBody()
+	defer c.endReceiving()
 	if size >= 0 {
 		if !c.reserveBody(size) {
 			return nil, net.ErrClosed
@@ -451,6 +452,7 @@
 				ctx.SetConnectionClose()
 				return
 			}
+			defer c.releaseBody()
 			body, err := c.readBody(ctx, maxBody)
 			if err != nil {
 				handleReadError(ctx, err)
--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -181,8 +181,8 @@
 
 // reserveBody reserves further bytes for the body that is read from a connection. When the limit is
 // exceeded, the connections whose bodies have been arriving for the longest time are evicted:
-// clients that send half of a body and stop must not block others. It reports false if this
-// connection itself was evicted.
+// clients that send half of a body and stop must not block others. Bodies that are complete count
+// until the core has them. reserveBody reports false if this connection itself was evicted.
 func (c *Conn) reserveBody(bytes int) bool {
 	cl := c.limiter
 	cl.mu.Lock()
@@ -200,6 +200,17 @@
 	return !c.removed
 }
 
+// endReceiving ends the reading of the connection's body: the connection is not evicted for the sake
+// of other bodies any more.
+func (c *Conn) endReceiving() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	if c.bodyElem != nil {
+		c.limiter.receiving.Remove(c.bodyElem)
+		c.bodyElem = nil
+	}
+}
+
 // releaseBody releases what reserveBody has reserved.
 func (c *Conn) releaseBody() {
 	c.limiter.mu.Lock()
@@ -211,9 +222,10 @@
 func (c *Conn) releaseBodyLocked() {
 	if c.bodyElem != nil {
 		c.limiter.receiving.Remove(c.bodyElem)
-		c.limiter.bodyBytes -= c.bodyBytes
-		c.bodyElem, c.bodyBytes = nil, 0
+		c.bodyElem = nil
 	}
+	c.limiter.bodyBytes -= c.bodyBytes
+	c.bodyBytes = 0
 }
 
 // DisableKeepAlives sets whether each connection is closed after its current response.
--- a/internal/program/apply.go
+++ b/internal/program/apply.go
@@ -3,8 +3,6 @@
 import (
 	"log"
 	"maps"
-	"runtime"
-	"runtime/debug"
 	"time"
 
 	"standpulley/internal/config"
@@ -12,19 +10,9 @@
 	"standpulley/internal/intentlog"
 )
 
-const (
-	// Share of the memory limit at which Go collects garbage more aggressively.
-	memoryShare  = 0.7
-	clientShare  = 0.45 // share of the sockets for clients of all fronts together
-	replicaShare = 0.4  // share of the sockets for replicas
-	// Least number of sockets for all else: discovery, the admin endpoint and its callers, the
-	// runtime, connections that are being refused.
-	reservedSockets = 40
-	// How long a start waits for discovery, because the configured list may be outdated.
-	firstListTimeout = 500 * time.Millisecond
-	bodyReadShare    = 0.1 // share of memory for request bodies that are still being read
-	decodeShare      = 0.2 // share of memory for bodies of the chat API that are being decoded
-)
+// firstListTimeout is how long a start waits for discovery, because the configured list may be
+// outdated.
+const firstListTimeout = 500 * time.Millisecond
 
 // apply puts a configuration in force. On an error the previous one stays in force unchanged.
 func (p *program) apply(cfg config.Config) error {
@@ -120,21 +108,3 @@
 	}
 	return p.agreement.lists
 }
-
-// share divides the sockets that the process may hold between clients and replicas. The rest is for
-// discovery, the admin endpoint, files and the console.
-func share(sockets int) (clients, replicas int) {
-	free := float64(sockets - reservedSockets)
-	part := func(of float64) int { return int(min(of*float64(sockets), of/(clientShare+replicaShare)*free)) }
-	return part(clientShare), part(replicaShare)
-}
-
-// limit applies the process limits of a configuration: sockets, memory and cores.
-func (p *program) limit(cfg config.Config) {
-	clients, replicas := share(cfg.Limits.Sockets)
-	p.limiter.SetLimits(clients, int(bodyReadShare*float64(cfg.Limits.MemoryMB<<20)))
-	p.decoding.SetLimit(int(decodeShare * float64(cfg.Limits.MemoryMB<<20)))
-	p.pool.SetLimits(replicas, cfg.Settings.ConnIdle, cfg.Settings.ConnectTimeout)
-	runtime.GOMAXPROCS(max(int(cfg.Limits.Cores+0.5), 1))
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
-}
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -18,7 +18,6 @@
 const (
 	handOverTime   = 2 * time.Second // how long a replaced watch, and connections to a retired front, may still be used
 	releaseTimeout = time.Second     // longest wait before exit for replicas to release prefill state
-	bodyShare      = 0.25            // share of memory for the bodies of open requests
 )
 
 // stack is everything that serves clients: the core, its discovery and the fronts. There is one for
@@ -67,10 +66,6 @@
 	return s, nil
 }
 
-func bounds(l config.Limits) dispatch.Bounds {
-	return dispatch.Bounds{Requests: l.Sockets / 2, Bytes: int(bodyShare * float64(l.MemoryMB<<20))}
-}
-
 // apply puts cfg in force, except for the addresses of the fronts. Learned values, held prefill
 // state and running requests are kept.
 func (s *stack) apply(cfg config.Config, lease dispatch.Lease) error {
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -29,8 +29,9 @@
 	// suspect.
 	suspectAfter = 300 * time.Millisecond
 
-	maxAnswer    = 64 << 10 // bytes of a body that is not a stream
-	streamBuffer = 16 << 10 // bytes
+	maxAnswer       = 64 << 10 // bytes of a body that is not a stream
+	streamBuffer    = 4 << 10  // bytes that are passed on at once
+	maxStreamBuffer = 16 << 10 // the same for a first event that is longer
 )
 
 // Request is a request for replicas. Its method, path, query, body and ID are sent unchanged.
@@ -277,7 +278,13 @@
 		return err
 	}
 	s.a.setReadTimeout(headTimeout)
-	for s.pending < len(s.buf) && !hasEvent(s.buf[:s.pending]) {
+	for !hasEvent(s.buf[:s.pending]) {
+		if s.pending == len(s.buf) {
+			if len(s.buf) >= maxStreamBuffer {
+				return nil
+			}
+			s.buf = append(s.buf, make([]byte, len(s.buf))...)
+		}
 		n, err := s.body.Read(s.buf[s.pending:])
 		s.pending += n
 		if err == io.EOF && s.pending > 0 { // the complete answer
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -77,7 +77,7 @@
 	// calls.
 	reserveFrom  = 32
 	reserveShare = 32
-	readBuffer   = 8 << 10
+	readBuffer   = 4 << 10
 	writeBuffer  = 16 << 10
 )
 
