Bound the fields of a request's header, and parse no more of it than has a bound

Callers saw a dispatcher that was killed under clients whose heads have very many short fields.

Cause: a parsed field takes some 70 bytes and more for the 4 that it may have on the wire, so a head of 8 KB took 150 KB, for as long as the request was open, and again in the headers that are sent on. The HTTP library parses the part of a head that comes with the first read before the rest is there, and keeps what it has parsed while it waits: half a head sufficed. Cookies are split in the same way. The names in Connection were compared with each field: 1.4 million comparisons, milliseconds, for one head.

Change: more than 100 fields or 400 list elements get 431. A read returns 100 lines at most, so no more are parsed ahead. The header's memory is freed when the request is handed on. Names in Connection are looked up.

TestHeaderWithTooManyFieldsIsRejected fails without it.

--- a/cmd/standpulley/memory_test.go
+++ b/cmd/standpulley/memory_test.go
@@ -208,8 +208,13 @@
 // hundreds of clients at once stop half way, write or read slowly, or wait for their answers.
 func TestCrowdsStayInMemory(t *testing.T) {
 	const crowd, crowdStays = 440, 4 * time.Second
+	manyFields := strings.Repeat("a:\r\n", 1900)
 	small := func(n int) string { return platformRequest(n, "enquiry", "", 2) }
 	large := func(n int) string { return platformRequest(n, "enquiry", "", largestBody) }
+	fields := func(n int) string { return platformRequest(n, "enquiry", manyFields, 2) }
+	cookies := func(n int) string {
+		return platformRequest(n, "enquiry", "Cookie: "+strings.Repeat("a;", 3500)+"\r\n", 2)
+	}
 	answer := func(n int) string { return chatRequest(fmt.Sprint("question ", n)) }
 	cut := func(text func(int) string, share float64) func(int) string {
 		return func(n int) string { return text(n)[:int(share*float64(len(text(n))))] }
@@ -220,6 +225,9 @@
 		chat        bool // the clients use the chat API
 	}{
 		"stop in a large body":             {readAtOnce, writeShort, sendAndRead(cut(large, 0.5)), false},
+		"stop in a head of many fields":    {readAtOnce, writeShort, sendAndRead(cut(fields, 0.95)), false},
+		"send heads of many fields":        {readLate, writeShort, sendAndRead(fields), false},
+		"send heads of many cookies":       {readLate, writeShort, sendAndRead(cookies), false},
 		"write slowly":                     {readLate, writeShort, sendSlowly(large), false},
 		"wait with small bodies":           {readLate, writeShort, sendAndRead(small), false},
 		"wait with large bodies":           {readLate, writeShort, sendAndRead(large), false},
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -4,6 +4,7 @@
 package front
 
 import (
+	"bytes"
 	"container/list"
 	"errors"
 	"io"
@@ -73,10 +74,35 @@
 	}
 }
 
-// Read returns the data that was read ahead before it reads from the connection.
+// Read returns the data that was read ahead before it reads from the connection. It returns no more
+// than maxHeaderFields lines at once: the server parses the part of a header that comes with the
+// first read before the rest has arrived, and keeps what it has parsed while it waits.
 func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.readUnlimited(p)
+	if end := endOfLines(p[:n], maxHeaderFields); end < n {
+		c.readAhead = slices.Concat(p[end:n], c.readAhead)
+		n = end
+	}
+	return n, err
+}
+
+// endOfLines returns where the line with the given number ends in text, or the length of text if it
+// has fewer lines.
+func endOfLines(text []byte, lines int) int {
+	end := 0
+	for range lines {
+		length := bytes.IndexByte(text[end:], '\n') + 1
+		if length == 0 {
+			return len(text)
+		}
+		end += length
+	}
+	return end
+}
+
+func (c *Conn) readUnlimited(p []byte) (int, error) {
 	if len(c.readAhead) > 0 && len(p) > 0 {
-		n := copy(p, c.readAhead)
+		n := copy(p, c.readAhead[:endOfLines(c.readAhead[:min(len(p), len(c.readAhead))], maxHeaderFields)])
 		if c.readAhead = c.readAhead[n:]; len(c.readAhead) == 0 {
 			c.readAhead = nil
 		}
@@ -314,10 +340,12 @@
 }
 
 // AwaitAnswer waits for the answer to a ticket. If the client closes the connection meanwhile, the
-// request ends. While a stream is relayed, the connection is watched until stop is called.
+// request ends. While a stream is relayed, the connection is watched until stop is called. The
+// header of the request is not available any more.
 func AwaitAnswer(ctx *fasthttp.RequestCtx, t *dispatch.Ticket) (a dispatch.Answer, stop func()) {
 	stop = func() {}
 	clientClosed := make(chan struct{})
+	releaseHeader(ctx)
 	if c, ok := ctx.Conn().(*Conn); ok {
 		c.releaseBody() // the core has it by now
 		stop = c.WatchClose(func() { close(clientClosed) })
@@ -447,6 +475,12 @@
 	return &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			c := ctx.Conn().(*Conn)
+			if hasTooManyFields(ctx.Request.Header.RawHeaders()) {
+				releaseHeader(ctx)
+				refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header has too many fields")
+				ctx.SetConnectionClose()
+				return
+			}
 			if err := checkFraming(ctx.Request.Header.RawHeaders()); err != nil {
 				refuse(ctx, fasthttp.StatusBadRequest, "malformed request: "+err.Error())
 				ctx.SetConnectionClose()
--- a/internal/front/http.go
+++ b/internal/front/http.go
@@ -13,7 +13,23 @@
 	"standpulley/internal/dispatch"
 )
 
-const maxIDLen = 64
+const (
+	maxIDLen = 64
+	// maxHeaderFields and maxListElements bound the fields of a request's header and the elements of
+	// lists in all of them, such as cookies: once parsed, each takes many times the memory of the few
+	// bytes that it may have on the wire.
+	maxHeaderFields = 100
+	maxListElements = 400
+)
+
+// hasTooManyFields reports whether a header has more fields or list elements than are accepted.
+func hasTooManyFields(raw []byte) bool {
+	return bytes.Count(raw, []byte("\n")) > maxHeaderFields || bytes.Count(raw, []byte(","))+bytes.Count(raw, []byte(";")) > maxListElements
+}
+
+// releaseHeader frees the memory of a request's header once the request was handed on. Resetting the
+// header would keep the memory for the next request on the connection.
+func releaseHeader(ctx *fasthttp.RequestCtx) { ctx.Request.Header = fasthttp.RequestHeader{} }
 
 // ValidID reports whether an ID can be used in a path and in a header without escaping.
 func ValidID(id string) bool {
@@ -38,17 +54,29 @@
 // sets itself. Unknown headers are forwarded because only replicas know the meaning of some, such
 // as the key by which they discard repeated requests.
 func ForwardedHeaders(h *fasthttp.RequestHeader, own ...string) (all [][2]string) {
-	skip := append(strings.Split(string(h.Peek("Connection")), ","), hopByHop...)
-	skip = append(skip, own...)
+	skip := map[string]bool{}
+	for _, name := range slices.Concat(strings.Split(string(h.Peek("Connection")), ","), hopByHop, own) {
+		skip[strings.ToLower(strings.TrimSpace(name))] = true
+	}
 	for name, value := range h.All() {
-		is := func(other string) bool { return strings.EqualFold(strings.TrimSpace(other), string(name)) }
-		if !slices.ContainsFunc(skip, is) {
+		if !skip[strings.ToLower(string(name))] {
 			all = append(all, [2]string{string(name), string(value)})
 		}
 	}
 	return all
 }
 
+// headerFieldBytes is the memory that a forwarded field takes beside its text.
+const headerFieldBytes = 64
+
+// HeaderBytes returns the memory of forwarded headers.
+func HeaderBytes(headers [][2]string) (bytes int) {
+	for _, h := range headers {
+		bytes += headerFieldBytes + len(h[0]) + len(h[1])
+	}
+	return bytes
+}
+
 // SetRetryAfter sets Retry-After, in decimal seconds.
 func SetRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
 	ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(max(after, 0).Seconds(), 'f', 3, 64))
--- a/internal/front/platform/limits_test.go
+++ b/internal/front/platform/limits_test.go
@@ -160,6 +160,43 @@
 	}
 }
 
+// Guards: a head of very many short fields took many times its size in memory, and each field was
+// sent on.
+func TestHeaderWithTooManyFieldsIsRejected(t *testing.T) {
+	rig, addr := start(t, fronttest.HealthyReader, serve)
+	for fields, status := range map[string]int{
+		strings.Repeat("a:\r\n", 80): 200, strings.Repeat("a:\r\n", 150): 431, strings.Repeat("a:\r\n", 1900): 431,
+		"Cookie: " + strings.Repeat("a;", 300) + "\r\n": 200, "Cookie: " + strings.Repeat("a;", 3500) + "\r\n": 431,
+	} {
+		text := strings.Replace(rawRequest("enquiry", "2000m"), "X-Qos", fields+"X-Qos", 1)
+		c := send(t, addr, text)
+		if resp, _, _ := readAnswer(t, c); resp.StatusCode != status {
+			t.Errorf("%d bytes of %.12q: %d, want %d", len(fields), fields, resp.StatusCode, status)
+		}
+		if status == 431 && !closedWithin(c, time.Second) {
+			t.Errorf("%d bytes of %.12q: the connection is still open", len(fields), fields)
+		}
+	}
+	if n := rig.WriterRequests(); n != 2 {
+		t.Errorf("%d requests reached a writer, want 2", n)
+	}
+}
+
+// Guards: a client that names very many fields in Connection held the program up for milliseconds
+// with each request.
+func TestFieldsNamedInConnectionAreNotForwarded(t *testing.T) {
+	rig, addr := start(t, fronttest.HealthyReader, serve)
+	named := "Connection: " + strings.Repeat("b,", 300) + " X-Mine \r\nx-mine: 1\r\nX-Other: 2\r\nX-Qos"
+	if resp, _, _ := readAnswer(t, send(t, addr, strings.Replace(rawRequest("enquiry", "2000m"), "X-Qos", named, 1))); resp.StatusCode != 200 {
+		t.Fatalf("got %d", resp.StatusCode)
+	}
+	for _, call := range rig.Reader.Calls("POST") {
+		if call.Header["X-Other"] != "2" || call.Header["X-Mine"] != "" || call.Header["Connection"] != "" {
+			t.Errorf("forwarded: %v", call.Header)
+		}
+	}
+}
+
 // Guards: timers hold a request in memory until the time that its client announces, which could be
 // arbitrarily late.
 func TestClientExpiryIsCapped(t *testing.T) {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -169,10 +169,7 @@
 	parcel := &replica.Request{Pool: f.pool, ID: q.ID, Method: string(in.Header.Method()),
 		URI: string(in.RequestURI()), Host: string(in.Header.Host()), Body: body}
 	parcel.Headers = front.ForwardedHeaders(&in.Header, "X-Trace-Id", "X-Expires-In")
-	q.Payload, q.Size, q.Resumable = parcel, len(body), set.resumable
-	for _, h := range parcel.Headers {
-		q.Size += len(h[0]) + len(h[1])
-	}
+	q.Payload, q.Size, q.Resumable = parcel, len(body)+front.HeaderBytes(parcel.Headers), set.resumable
 	return q, nil
 }
 
