Bound what the router remembers of sessions, prefixes and tenants

Callers saw memory that grows without end while one client names a new session, prefix and customer in each of its requests, at full speed.

Cause: the tables keep an entry for 30 s and more, however many there are. Where replicas answer 'full', the backpressure of each customer stayed until the same customer was served there: for ever, as customers are whatever the client names.

Change: recentTable keeps a bounded number of entries, those that were set last: 8,192 to 16,383 sessions, prefixes and first attempts, far more than the some tens of requests a second of a dispatcher need in 30 s, and 64 to 127 tenants and classes for each server.

--- a/logic/admission.go
+++ b/logic/admission.go
@@ -22,6 +22,21 @@
 	tokens  int64
 }
 
+// firstTried returns when a request's client first sent it.
+func (l *Router) firstTried(r *request) time.Duration {
+	key := retryKey{r.Session, r.PromptTokens}
+	at, ok := l.firstSeen.get(key)
+	if ok && l.now-at <= r.class.Deadline {
+		return at
+	}
+	at = l.now
+	if r.Retried { // its first attempt went to another router
+		at -= r.class.Aim / 2
+	}
+	l.firstSeen.set(key, at)
+	return at
+}
+
 func (l *Router) handleArrived(ev *Event) {
 	class := cmp.Or(l.classes[ev.Request.Class], l.classes[l.set.Classes[0].Name])
 	l.seq++
@@ -29,20 +44,13 @@
 	r.deadline = l.now + r.Remaining
 	l.requests[r.id], l.bySeq[r.seq] = r, r
 	// A client's retry has already used up part of the first-token target.
-	key := retryKey{r.Session, r.PromptTokens}
-	if at, ok := l.firstSeen[key]; !ok || l.now-at > class.Deadline {
-		l.firstSeen[key] = l.now
-		if r.Retried { // its first attempt went to another router
-			l.firstSeen[key] -= class.Aim / 2
-		}
-	}
-	r.firstTried = l.firstSeen[key]
+	r.firstTried = l.firstTried(r)
 	l.open = append(l.open, r)
-	l.out = append(l.out, Action{Kind: Wake, After: r.Remaining, Tag: r.seq})
+	l.out = append(l.out, Action{Kind: Wake, RequestID: r.id, After: r.Remaining, Tag: r.seq})
 	l.retryBudget = min(l.retryBudget+retryShare, 1+retryShare*l.arrivals.add(l.now, 0, entryTTL), retryBurst)
-	s := l.keyArrivals[cmp.Or(r.Prefix, r.Session)]
+	s, _ := l.keyArrivals.get(cmp.Or(r.Prefix, r.Session))
 	s.add(l.now, 1, entryTTL)
-	l.keyArrivals[cmp.Or(r.Prefix, r.Session)] = s
+	l.keyArrivals.set(cmp.Or(r.Prefix, r.Session), s)
 	l.arrivals.add(l.now, 1, entryTTL)
 	l.recentArrivals.add(l.now, 1, rateDecay)
 	overQuota := l.overQuota(r)
--- a/logic/affinity.go
+++ b/logic/affinity.go
@@ -25,7 +25,7 @@
 // demand is the estimated traffic of a request's prefix or session, in units of one reader's even
 // share of all traffic. It is taken from the prefix's share of the arrivals at this router.
 func (l *Router) demand(r *request, readers int, prior float64) float64 {
-	s := l.keyArrivals[cmp.Or(r.Prefix, r.Session)]
+	s, _ := l.keyArrivals.get(cmp.Or(r.Prefix, r.Session))
 	seen := max(s.add(l.now, 0, entryTTL)-0.5, 0)
 	return seen / (l.arrivals.add(l.now, 0, entryTTL) + prior) * float64(readers)
 }
--- a/logic/events.go
+++ b/logic/events.go
@@ -119,7 +119,7 @@
 	Fail                      // RequestID: final answer; the request may have run
 	Release                   // RequestID: release everything that servers hold for it
 	Cancel                    // RequestID, Attempt
-	Wake                      // send a TimerFired with Tag after After
+	Wake                      // send a TimerFired with Tag after After; not needed once RequestID, if set, has ended
 	Watch                     // subscribe to the list of servers
 	Probe                     // Server: ask whether it is healthy; the answer is a Probed event
 )
--- a/logic/health.go
+++ b/logic/health.go
@@ -5,6 +5,7 @@
 // Server health: failures, backoff, full queues and error rates.
 
 const (
+	maxTenantClasses     = 64                     // tenants and classes whose backpressure is remembered for a server
 	minBackoff           = 1 * time.Second        // ejection time after the first failure, doubled with each further one ...
 	maxBackoff           = 8 * time.Second        // ... up to this
 	maxConsecutiveErrors = 3                      // consecutive errors that count as a failure of the server
@@ -27,7 +28,10 @@
 
 func tenantClassOf(r *request) tenantClass { return tenantClass{r.Tenant, r.class} }
 
-func (s *server) backpressureFor(r *request) backpressure { return s.backpressure[tenantClassOf(r)] }
+func (s *server) backpressureFor(r *request) backpressure {
+	b, _ := s.backpressure.get(tenantClassOf(r))
+	return b
+}
 
 func (l *Router) recordFailure(s *server) {
 	if s.failures == 0 && !l.inSlowStart(s) {
@@ -46,7 +50,7 @@
 	b := s.backpressureFor(r)
 	b.pause = min(max(2*b.pause, minFullBackoff, fullBackoffFactor*took), maxBackoff)
 	b.fullUntil = l.now + b.pause
-	s.backpressure[tenantClassOf(r)] = b
+	s.backpressure.set(tenantClassOf(r), b)
 }
 
 // recordSuccess records that a read ended or a stream began: the server is healthy and accepts
@@ -54,7 +58,7 @@
 func (l *Router) recordSuccess(r *request, s *server) {
 	s.lastResponse, s.failures, s.consecutiveErrors, s.lastAnsweredSend = l.now, 0, 0, max(s.lastAnsweredSend, r.sentAt)
 	s.served.add(l.now, 1, rateDecay)
-	delete(s.backpressure, tenantClassOf(r))
+	s.backpressure.delete(tenantClassOf(r))
 	l.poolOf(s).addRecent(s)
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -108,7 +108,7 @@
 // if every writer answers "full".
 func TestNoRefusalBeforeARateIsLearned(t *testing.T) {
 	l := newRouter(t, settings(), entry("r1", "r", 1), entry("w1", "w", 1))
-	l.servers["w1"].backpressure[tenantClass{"", l.classes["c"]}] = backpressure{fullUntil: ms(5000)}
+	l.servers["w1"].backpressure.set(tenantClass{"", l.classes["c"]}, backpressure{fullUntil: ms(5000)})
 	if a := find(l.Handle(ms(1), arrival("q", 7, 9), nil), Send); a == nil {
 		t.Error("refused without a learned rate")
 	}
@@ -510,7 +510,7 @@
 	if len(l.servers) > 2*maxKnown || len(l.order) != len(l.servers) {
 		t.Errorf("%d servers stored, %d in order", len(l.servers), len(l.order))
 	}
-	for name, n := range map[string]int{"prefixTable": len(l.prefixTable), "keyArrivals": len(l.keyArrivals), "firstSeen": len(l.firstSeen),
+	for name, n := range map[string]int{"prefixTable": l.prefixTable.len(), "keyArrivals": l.keyArrivals.len(), "firstSeen": l.firstSeen.len(),
 		"requests": len(l.requests), "bySeq": len(l.bySeq), "open": len(l.open)} {
 		if n > 2*maxKnown {
 			t.Errorf("%s: %d entries", name, n)
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -24,7 +24,7 @@
 	recentErrors      decayingSum   // attempts that ended with an error
 	failingSince      time.Duration // when failures began
 	ejectedUntil      time.Duration
-	backpressure      map[tenantClass]backpressure
+	backpressure      recentTable[tenantClass, backpressure]
 	hash              uint64  // of its ID
 	coldCredit        float64 // sends to a cold server that this router may make now, earned up to coldCreditAt
 	coldCreditAt      time.Duration
@@ -61,7 +61,7 @@
 	for _, e := range ev.Servers {
 		s := l.servers[e.ID]
 		if s == nil {
-			s = &server{lastResponse: -1, coldCreditAt: -1, homeWeight: 1, keyWeight: 1, backpressure: map[tenantClass]backpressure{}}
+			s = &server{lastResponse: -1, coldCreditAt: -1, homeWeight: 1, keyWeight: 1, backpressure: newRecentTable[tenantClass, backpressure](maxTenantClasses)}
 			for i := range e.ID {
 				s.hash = mix(s.hash ^ uint64(e.ID[i]))
 			}
@@ -69,7 +69,7 @@
 			l.order = append(l.order, s)
 		} else if e.Started != s.Started { // a new process has neither the cached prefixes nor the failures of the old one
 			s.cacheValidSince, s.failures, s.consecutiveErrors, s.ejectedUntil = l.now, 0, 0, 0
-			clear(s.backpressure)
+			s.backpressure = newRecentTable[tenantClass, backpressure](maxTenantClasses)
 			s.perTokenAt, s.firstTokenAt = 0, 0
 		}
 		role := s.role
--- a/logic/placement.go
+++ b/logic/placement.go
@@ -119,7 +119,8 @@
 	}
 	eligible := l.readEligible(r, nil)
 	for _, key := range r.tableKeys() {
-		for _, h := range l.prefixTable[key] {
+		entries, _ := l.prefixTable.get(key)
+		for _, h := range entries {
 			if matches[h.server].tokens > 0 && h.server.listed && !slices.Contains(readers, h.server) && eligible(h.server) {
 				readers = append(readers, h.server)
 			}
--- a/logic/prefixtable.go
+++ b/logic/prefixtable.go
@@ -47,8 +47,9 @@
 	if k.key == 0 || tokens <= 0 {
 		return
 	}
-	hs := slices.DeleteFunc(l.prefixTable[k], func(h cacheEntry) bool { return h.server == s || !l.live(h) })
-	l.prefixTable[k] = append(hs, cacheEntry{s, tokens, l.now, confirmed})
+	entries, _ := l.prefixTable.get(k)
+	entries = slices.DeleteFunc(entries, func(h cacheEntry) bool { return h.server == s || !l.live(h) })
+	l.prefixTable.set(k, append(entries, cacheEntry{s, tokens, l.now, confirmed}))
 }
 
 // matches returns the length of the prompt's match for each reader that holds any of it.
@@ -56,7 +57,8 @@
 	session, prefix := keysOf(r)
 	m := map[*server]match{}
 	add := func(k tableKey, limit int64) {
-		for _, h := range l.prefixTable[k] {
+		entries, _ := l.prefixTable.get(k)
+		for _, h := range entries {
 			x := match{tokens: min(h.tokens, limit)}
 			if h.confirmed {
 				x.confirmed = x.tokens
--- a/logic/probing.go
+++ b/logic/probing.go
@@ -57,7 +57,7 @@
 // target.
 func (l *Router) setProbeTimer(r *request, share float64) {
 	after := time.Duration(share * l.aimOf(r) * float64(time.Second))
-	l.out = append(l.out, Action{Kind: Wake, After: after, Tag: probeTag | r.seq})
+	l.out = append(l.out, Action{Kind: Wake, RequestID: r.id, After: after, Tag: probeTag | r.seq})
 }
 
 // handleProbed handles the answer to a probe. It names no request, so it counts for all requests
--- a/logic/router.go
+++ b/logic/router.go
@@ -9,12 +9,12 @@
 package logic
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
 
 const (
+	maxKeys      = 1 << 13               // sessions and prefixes that are remembered
 	entryTTL     = 30 * time.Second      // prefix table entries, popularity counts and first attempts expire after this
 	tickInterval = 40 * time.Millisecond // how often outstanding attempts and parked requests are checked
 )
@@ -37,7 +37,7 @@
 	writers       pool // writers, and servers that do both
 	indexStale    bool // a list has arrived that the reader and writer pools do not reflect yet
 	indexedAt     time.Duration
-	prefixTable   map[tableKey][]cacheEntry
+	prefixTable   recentTable[tableKey, []cacheEntry]
 	requests      map[string]*request
 	bySeq         map[uint64]*request
 	open          []*request // in order of arrival
@@ -50,10 +50,10 @@
 	// meanPerToken is the learned read time per prompt token in seconds, over all readers.
 	meanPerToken   float64
 	retryBudget    float64
-	keyArrivals    map[uint64]decayingSum // arrivals by prefix, or by session where a request has no prefix
+	keyArrivals    recentTable[uint64, decayingSum] // arrivals by prefix, or by session where a request has no prefix
 	arrivals       decayingSum
-	recentArrivals decayingSum                // arrivals, with the decay time of read rates
-	firstSeen      map[retryKey]time.Duration // when a request was first seen
+	recentArrivals decayingSum                          // arrivals, with the decay time of read rates
+	firstSeen      recentTable[retryKey, time.Duration] // when a request was first seen
 	// warmRates is the requests per second that a warm server of a kind, with weight 1, served for
 	// this router when one was last listed.
 	warmRates  map[string]float64
@@ -87,8 +87,9 @@
 	return &Router{
 		seed: seed, seq: tagRequests, retryBudget: 1,
 		servers:     map[string]*server{},
-		prefixTable: map[tableKey][]cacheEntry{}, requests: map[string]*request{}, bySeq: map[uint64]*request{},
-		firstSeen: map[retryKey]time.Duration{}, keyArrivals: map[uint64]decayingSum{}, warmRates: map[string]float64{},
+		prefixTable: newRecentTable[tableKey, []cacheEntry](maxKeys), requests: map[string]*request{}, bySeq: map[uint64]*request{},
+		firstSeen: newRecentTable[retryKey, time.Duration](maxKeys), keyArrivals: newRecentTable[uint64, decayingSum](maxKeys),
+		warmRates: map[string]float64{},
 	}
 }
 
@@ -164,8 +165,8 @@
 	}
 	if l.now-l.lastSweep > entryTTL/4 {
 		l.lastSweep = l.now
-		maps.DeleteFunc(l.keyArrivals, func(_ uint64, d decayingSum) bool { return l.now-d.at > entryTTL })
-		maps.DeleteFunc(l.firstSeen, func(_ retryKey, at time.Duration) bool { return l.now-at > entryTTL })
+		l.keyArrivals.deleteFunc(func(_ uint64, d decayingSum) bool { return l.now-d.at > entryTTL })
+		l.firstSeen.deleteFunc(func(_ retryKey, at time.Duration) bool { return l.now-at > entryTTL })
 		l.order = slices.DeleteFunc(l.order, func(s *server) bool {
 			expired := !s.listed && len(s.pending) == 0 && s.openWrites == 0 && l.now-s.unlistedAt > entryTTL
 			if expired { // replaced by servers with other ids
@@ -173,10 +174,6 @@
 			}
 			return expired
 		})
-		for k, hs := range l.prefixTable { // only deletes entries, so the iteration order does not matter
-			if l.prefixTable[k] = slices.DeleteFunc(hs, func(h cacheEntry) bool { return !l.live(h) }); len(l.prefixTable[k]) == 0 {
-				delete(l.prefixTable, k)
-			}
-		}
+		l.prefixTable.deleteFunc(func(_ tableKey, entries []cacheEntry) bool { return !slices.ContainsFunc(entries, l.live) })
 	}
 }
