End a request's timers with the request

Callers saw memory that grows while one client sends small requests at full speed: 33,272 KB resident after 3 s with a limit of 32,768.

Cause: the timer of a deadline stayed in the core's heap until it was due, with its request, and the client says when: up to twice the deadline of the class, which grows with the prompt that the client claims, minutes for one of a million tokens. The timers of the decision module did likewise.

Change: timers of a request are known to it and are removed from the heap when the request is forgotten. A Wake of the decision module names its request.

--- a/cmd/standpulley/memory_test.go
+++ b/cmd/standpulley/memory_test.go
@@ -267,6 +267,9 @@
 	}
 }
 
+// lastAsked is the number of the last request of askBeside. Requests of crowds have lower ones.
+var lastAsked = func() *atomic.Int64 { n := new(atomic.Int64); n.Store(1 << 40); return n }()
+
 // askBeside sends requests one after the other, each on a connection of its own. Each must get an
 // answer in time, whatever other clients do.
 func askBeside(t *testing.T, p *limitedProgram, count int) (served, refused int) {
@@ -283,7 +286,7 @@
 			}
 			defer c.Close()
 			_ = c.SetDeadline(time.Now().Add(timeout + slack))
-			_, _ = io.WriteString(c, platformRequest(1<<20+n, "instruction", "", 2))
+			_, _ = io.WriteString(c, platformRequest(int(lastAsked.Add(1)), "instruction", "", 2)) // the read reports an error
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 			switch {
 			case err != nil:
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -21,6 +21,7 @@
 	resumable       bool
 	intents         IntentRecorder
 	ticket          *Ticket
+	timers          []*timer
 	waitedTooLong   bool        // the request waited too long in the inbox and the core is overloaded
 	clientGone      atomic.Bool // the client has gone; may be set from any goroutine
 	checkClientGone func() bool
@@ -93,7 +94,7 @@
 	r.deadline = r.received.Add(r.spec.Remaining)
 	// Part of the time may have passed before the request got here.
 	r.spec.Remaining = max(r.deadline.Sub(d.clock()), 0)
-	d.after(r.spec.Remaining+deadlineGrace, func() { d.deadlinePassed(r) })
+	d.afterFor(r, r.spec.Remaining+deadlineGrace, func() { d.deadlinePassed(r) })
 	d.route(logic.Event{Kind: logic.Arrived, RequestID: r.id, Request: r.spec})
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,7 +13,6 @@
 package dispatch
 
 import (
-	"container/heap"
 	"hash/maphash"
 	"sync/atomic"
 	"time"
@@ -278,43 +277,3 @@
 	d.starts.listReceived(d.now(), func(id string) bool { return d.servers[id] != nil })
 	d.applyList(u)
 }
-
-// timerEntry is a function to be run on the core's goroutine at a given time.
-type timerEntry struct {
-	at  time.Time
-	run func()
-}
-
-type timerHeap []timerEntry
-
-func (a timerHeap) Len() int           { return len(a) }
-func (a timerHeap) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a timerHeap) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *timerHeap) Push(x any)        { *a = append(*a, x.(timerEntry)) }
-func (a *timerHeap) Pop() any {
-	old := *a
-	x := old[len(old)-1]
-	old[len(old)-1] = timerEntry{}
-	*a = old[:len(old)-1]
-	return x
-}
-
-func (d *Dispatcher) after(wait time.Duration, do func()) {
-	heap.Push(&d.timers, timerEntry{d.clock().Add(wait), do})
-}
-
-// runTimers runs the timers that are due, at most maxPerIteration of them, and reports whether
-// there were any.
-func (d *Dispatcher) runTimers() (busy bool) {
-	for range maxPerIteration {
-		if len(d.timers) == 0 || d.timers[0].at.After(d.clock()) {
-			return busy
-		}
-		due, began := heap.Pop(&d.timers).(timerEntry), time.Now()
-		due.run()
-		now := time.Now()
-		d.Delays.record(nil, began.Sub(due.at), now.Sub(began), now)
-		busy = true
-	}
-	return busy
-}
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -121,6 +121,7 @@
 	if d.mayForget(r) {
 		delete(d.requests, r.id)
 		d.dropPayload(r)
+		d.stopTimers(r)
 		// This is needed after an answer too: the read may end at its replica after the fetch that
 		// released everything else.
 		if r.orphaned {
--- a/internal/dispatch/held.go
+++ b/internal/dispatch/held.go
@@ -84,7 +84,7 @@
 	}
 	r.held.timerID++
 	timerID := r.held.timerID
-	d.after(time.Duration(fraction*float64(d.settings.ReleaseWithin)), func() {
+	d.afterFor(r, time.Duration(fraction*float64(d.settings.ReleaseWithin)), func() {
 		if d.requests[r.id] != r || r.held.timerID != timerID || !r.mayRelease() {
 			return
 		}
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -186,7 +186,7 @@
 // was confirmed.
 func (d *Dispatcher) checkHeld(r *request) {
 	stateID := r.held.stateID
-	d.after(d.settings.ReleaseWithin+heldSlack, func() {
+	d.afterFor(r, d.settings.ReleaseWithin+heldSlack, func() {
 		if r.held.stateID == stateID && r.held.addr != "" && !r.hasAttemptAt(logic.Reader) && d.requests[r.id] == r {
 			d.recordViolation(HeldTooLong, "%s at %s", r.id, r.held.addr)
 		}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -57,7 +57,7 @@
 func (d *Dispatcher) execute(a logic.Action, known holders) {
 	switch a.Kind {
 	case logic.Wake:
-		d.after(a.After, func() { d.route(logic.Event{Kind: logic.TimerFired, Tag: a.Tag}) })
+		d.wake(a)
 		return
 	case logic.Watch: // the core receives list changes all the time
 		return
@@ -91,6 +91,16 @@
 	}
 }
 
+// wake sets a timer of the decision module. One for a request ends with the request.
+func (d *Dispatcher) wake(a logic.Action) {
+	fire := func() { d.route(logic.Event{Kind: logic.TimerFired, Tag: a.Tag}) }
+	if a.RequestID == "" {
+		d.after(a.After, fire)
+	} else if r := d.requests[a.RequestID]; r != nil {
+		d.afterFor(r, a.After, fire)
+	}
+}
+
 // answer delivers the final answer; later answers are dropped. A refusal promises that retrying is
 // harmless, so without proof of that the request fails instead, whatever the decision module
 // decided.
