Remember as many of the chat API's instructions as memory allows

Callers saw their instructions refused for up to 15 minutes after one client had sent 4,096 with a new key each, which takes seconds at full speed: 'too many instructions are remembered'.

Cause: a fixed bound of 4,096 for the whole process. Each further instruction also searched all of them for one that had expired.

Change: a twentieth of the memory that the program leaves at rest, 11,468 with 32 MB and some 142,000 with 192 MB.

Test: TestManyInstructionsAreRemembered; before, the 4,097th is not taken. Still so: one that sends as many new instructions as memory holds keeps others from theirs until the first expire.

--- a/internal/front/chat/customers_test.go
+++ b/internal/front/chat/customers_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"standpulley/internal/fake"
 	"standpulley/internal/fronttest"
@@ -31,3 +32,37 @@
 		t.Errorf("%d instructions ran, want 2", n)
 	}
 }
+
+// TestManyInstructionsAreRemembered guards against one client at full speed, with a new key in each
+// instruction, after which no other client's instruction was taken for 15 minutes.
+func TestManyInstructionsAreRemembered(t *testing.T) {
+	const flood, memory = 10000, 14 << 20 / 20 // the least share of memory
+	m, now := NewInstructions(), time.Now()
+	m.now = func() time.Time { return now }
+	m.SetLimit(memory)
+	for key := range uint64(flood) {
+		if known, full := m.begin(key, true); known || full {
+			t.Fatalf("instruction %d: known %v, full %v", key, known, full)
+		}
+		m.finish(key, true)
+	}
+	if _, full := m.begin(flood, true); full {
+		t.Error("another client's instruction is not taken")
+	}
+	if known, _ := m.begin(0, true); !known {
+		t.Error("the first instruction is forgotten")
+	}
+	for key := uint64(flood + 1); ; key++ {
+		if _, full := m.begin(key, false); full {
+			break
+		}
+		m.finish(key, true)
+		if key > 10*flood {
+			t.Fatal("no limit")
+		}
+	}
+	now = now.Add(instructionRetention)
+	if _, full := m.begin(0, true); full {
+		t.Error("no instruction is taken after the others have expired")
+	}
+}
--- a/internal/program/apply_test.go
+++ b/internal/program/apply_test.go
@@ -50,7 +50,7 @@
 // core's, and one core serves under every configuration. A configuration whose address can't be
 // opened changes nothing.
 func TestCoreOutlivesConfigurations(t *testing.T) {
-	p := &program{decoding: &chat.DecodeBudget{}, pool: replica.NewPool(0, 0, 0), limiter: front.NewConnLimiter(0, 0), draining: make(chan struct{})}
+	p := &program{decoding: &chat.DecodeBudget{}, instructions: chat.NewInstructions(), pool: replica.NewPool(0, 0, 0), limiter: front.NewConnLimiter(0, 0), draining: make(chan struct{})}
 	site := testSite{listen: freeAddr(t), chat: freeAddr(t), models: `"ask":"enquiry"`, deadlineUS: 1000000, class: "instruction"}
 	if err := p.apply(site.parse(t)); err != nil {
 		t.Fatal(err)
--- a/internal/program/limits.go
+++ b/internal/program/limits.go
@@ -39,22 +39,25 @@
 	requestBytes = 48 << 10
 
 	// Shares of the memory that the program leaves at rest. What they leave is for garbage.
-	connMemory     = 0.25 // connections of clients
+	connMemory     = 0.2  // connections of clients
 	requestMemory  = 0.3  // open requests
 	payloadMemory  = 0.2  // payloads of open requests
 	bodyReadMemory = 0.1  // request bodies that the core does not have yet
 	decodeMemory   = 0.15 // bodies of the chat API that are being decoded
+	// Instructions of the chat API that are remembered. They are few and small in ordinary service.
+	instructionMemory = 0.05
 )
 
 // processLimits are the bounds of one process.
 type processLimits struct {
-	clientConns   int
-	replicaConns  int
-	openRequests  int
-	payloadBytes  int
-	bodyReadBytes int
-	decodeBytes   int
-	gcLimit       int64 // bytes
+	clientConns      int
+	replicaConns     int
+	openRequests     int
+	payloadBytes     int
+	bodyReadBytes    int
+	decodeBytes      int
+	instructionBytes int
+	gcLimit          int64 // bytes
 }
 
 // newProcessLimits divides the limits of a configuration.
@@ -63,13 +66,14 @@
 	free := max(total-imageBytes-runtimeBytes, leastShare*total)
 	clients, replicas := share(l.Sockets)
 	return processLimits{
-		clientConns:   min(clients, int(connMemory*free/connBytes)),
-		replicaConns:  replicas,
-		openRequests:  min(l.Sockets/2, int(requestMemory*free/requestBytes)),
-		payloadBytes:  max(int(payloadMemory*free), leastBodies),
-		bodyReadBytes: max(int(bodyReadMemory*free), leastBodies),
-		decodeBytes:   int(decodeMemory * free),
-		gcLimit:       int64(min(gcShare*total, max(total-imageBytes-gcReserve, leastShare*total))),
+		clientConns:      min(clients, int(connMemory*free/connBytes)),
+		replicaConns:     replicas,
+		openRequests:     min(l.Sockets/2, int(requestMemory*free/requestBytes)),
+		payloadBytes:     max(int(payloadMemory*free), leastBodies),
+		bodyReadBytes:    max(int(bodyReadMemory*free), leastBodies),
+		decodeBytes:      int(decodeMemory * free),
+		instructionBytes: int(instructionMemory * free),
+		gcLimit:          int64(min(gcShare*total, max(total-imageBytes-gcReserve, leastShare*total))),
 	}
 }
 
@@ -92,6 +96,7 @@
 	limits := newProcessLimits(cfg.Limits)
 	p.limiter.SetLimits(limits.clientConns, limits.bodyReadBytes)
 	p.decoding.SetLimit(limits.decodeBytes)
+	p.instructions.SetLimit(limits.instructionBytes)
 	p.pool.SetLimits(limits.replicaConns, cfg.Settings.ConnIdle, cfg.Settings.ConnectTimeout)
 	runtime.GOMAXPROCS(max(int(cfg.Limits.Cores+0.5), 1))
 	debug.SetMemoryLimit(limits.gcLimit)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -39,10 +39,11 @@
 // program is the state of the process.
 type program struct {
 	ports map[string]*front.Port
-	// The limits of pool, limiter and decoding apply to the whole process.
+	// The limits of pool, limiter, decoding and instructions apply to the whole process.
 	pool          *replica.Pool
 	limiter       *front.ConnLimiter
 	decoding      *chat.DecodeBudget
+	instructions  *chat.Instructions
 	current       *stack
 	live          atomic.Pointer[stack] // same as current, read by the admin endpoint
 	adminPort     *front.Port           // port of the admin endpoint
@@ -123,7 +124,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	p := &program{ports: map[string]*front.Port{}, decoding: &chat.DecodeBudget{}, pool: replica.NewPool(0, 0, 0), limiter: front.NewConnLimiter(0, 0),
+	p := &program{ports: map[string]*front.Port{}, decoding: &chat.DecodeBudget{}, instructions: chat.NewInstructions(), pool: replica.NewPool(0, 0, 0), limiter: front.NewConnLimiter(0, 0),
 		draining: make(chan struct{})}
 	p.limiter.OnClose = func(cause dispatch.Cause, client string) { p.counts.Count(dispatch.ClientClosed, cause, client) }
 	go p.pool.Sweep(ctx)
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -45,7 +45,7 @@
 // that list at its discovery service, or nil if the list did not come from there. The stack has no
 // fronts yet.
 func (p *program) newStack(cfg config.Config, known dispatch.Update, knownVersion *int64) (*stack, error) {
-	s := &stack{cfg: cfg, pool: p.pool, releaser: replica.NewReleaser(p.pool), chat: chat.Shared{Instructions: chat.NewInstructions(), Decoding: p.decoding}, fronts: map[string]*servedFront{},
+	s := &stack{cfg: cfg, pool: p.pool, releaser: replica.NewReleaser(p.pool), chat: chat.Shared{Instructions: p.instructions, Decoding: p.decoding}, fronts: map[string]*servedFront{},
 		listReceived: make(chan struct{}, 1), stopWatch: func() {}, lists: p.lists(), knownVersion: knownVersion}
 	var err error
 	s.core, err = dispatch.New(cfg.Settings, cfg.Seed, known, s.releaser, bounds(cfg.Limits))
