Hear a client's close behind whatever it has left unread

Callers saw that requests of clients that had closed their connection were sent on, to readers and writers, as long as much that the client had sent was unread.

Cause: 16 KB behind a request were read, then the socket was asked for the close. The close of a client is behind all that it has sent, and what does not fit into the network's buffers is not sent before the rest is read: beyond some 100 KB the close could not be seen.

Change: the connection is read for as long as its request is open. Up to 1 MB of what comes is kept and served next, beyond 16 KB if memory allows (half as much as for bodies); the rest is thrown away, and then the connection ends behind what was kept: 'Connection: close' at the last answer, or a 502. Reading pauses beyond 8 MB, so that a client that goes on at full speed takes no more than a few percent of the time.

--- a/cmd/standpulley/memory_test.go
+++ b/cmd/standpulley/memory_test.go
@@ -216,6 +216,8 @@
 		return platformRequest(n, "enquiry", "Cookie: "+strings.Repeat("a;", 3500)+"\r\n", 2)
 	}
 	answer := func(n int) string { return chatRequest(fmt.Sprint("question ", n)) }
+	behind := strings.Repeat("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n", 1<<20/36)
+	ahead := func(n int) string { return small(n) + behind }
 	cut := func(text func(int) string, share float64) func(int) string {
 		return func(n int) string { return text(n)[:int(share*float64(len(text(n))))] }
 	}
@@ -230,6 +232,7 @@
 		"send heads of many cookies":       {readLate, writeShort, sendAndRead(cookies), false},
 		"write slowly":                     {readLate, writeShort, sendSlowly(large), false},
 		"wait with small bodies":           {readLate, writeShort, sendAndRead(small), false},
+		"send far ahead":                   {readLate, writeShort, sendAndRead(ahead), false},
 		"wait with large bodies":           {readLate, writeShort, sendAndRead(large), false},
 		"read long answers slowly":         {readAtOnce, writeLong(4000), readSlowly(small), false},
 		"wait for long answers in a piece": {readAtOnce, writeLong(200), sendAndRead(answer), true},
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -11,12 +11,10 @@
 	"net"
 	"os"
 	"slices"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"standpulley/internal/dispatch"
 )
@@ -25,8 +23,8 @@
 // a handler runs; WatchClose does.
 type Conn struct {
 	net.Conn
-	lastRead  time.Time // when data was last received
-	readAhead []byte    // data received behind the current request, read while watching for the client's close
+	lastRead time.Time // when data was last received
+	ahead    readAhead
 
 	limiter      *ConnLimiter
 	listener     *Listener     // owner of the connection; guarded by the limiter
@@ -38,16 +36,13 @@
 
 	bodyElem  *list.Element // position in the list of bodies being read; guarded by the limiter
 	bodyBytes int           // bytes reserved for that body
+
+	aheadBytes int // bytes reserved for data that was read ahead; guarded by the limiter
 }
 
 const (
 	lingerTimeout  = time.Second
 	lingerMaxBytes = 4 << 20
-	// At most maxReadAhead bytes that a client sends behind its current request are read to detect
-	// a close. Once that much is buffered, the socket is polled instead.
-	maxReadAhead       = 16 << 10
-	readAheadStep      = 512
-	hangupPollInterval = 40 * time.Millisecond // detects a client's close within 100 ms
 )
 
 // Close ends the connection. The response must reach the client, so the write side is closed first
@@ -80,7 +75,7 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.readUnlimited(p)
 	if end := endOfLines(p[:n], maxHeaderFields); end < n {
-		c.readAhead = slices.Concat(p[end:n], c.readAhead)
+		c.ahead.prepend(p[end:n])
 		n = end
 	}
 	return n, err
@@ -101,12 +96,11 @@
 }
 
 func (c *Conn) readUnlimited(p []byte) (int, error) {
-	if len(c.readAhead) > 0 && len(p) > 0 {
-		n := copy(p, c.readAhead[:endOfLines(c.readAhead[:min(len(p), len(c.readAhead))], maxHeaderFields)])
-		if c.readAhead = c.readAhead[n:]; len(c.readAhead) == 0 {
-			c.readAhead = nil
-		}
-		return n, nil
+	if c.ahead.hasData() {
+		return c.takeAhead(p), nil
+	}
+	if c.ahead.isOverrun() {
+		return 0, c.endOverrun()
 	}
 	if !c.requestHasBegun() {
 		return c.readFirst(p)
@@ -221,19 +215,6 @@
 	}
 }
 
-// ClientClosed reports whether the client has closed the connection, whatever it sent before that.
-// Nothing else may read from the connection meanwhile.
-func (c *Conn) ClientClosed() bool {
-	for len(c.readAhead) < maxReadAhead {
-		n, closed := c.readNonblocking(c.readAheadSpace())
-		c.readAhead = c.readAhead[:len(c.readAhead)+n]
-		if closed || n == 0 {
-			return closed
-		}
-	}
-	return c.hungUp()
-}
-
 // ReceivedAt returns an upper bound of the time at which the last byte of the current request
 // arrived: the request may have waited behind the one before it. The client's time limit runs from
 // then.
@@ -261,24 +242,6 @@
 	_ = ctx.Conn().Close() // the server's write of the response fails
 }
 
-// hungUp reports whether the kernel has seen the client's close, even if data sent before it is
-// still unread.
-func (c *Conn) hungUp() bool {
-	return c.inspectFD(func(fd int) bool {
-		pollFDs := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(pollFDs, 0)
-		return err == nil && n > 0 && pollFDs[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-}
-
-// readAheadSpace returns free space behind the data that was read ahead.
-func (c *Conn) readAheadSpace() []byte {
-	if cap(c.readAhead) == len(c.readAhead) {
-		c.readAhead = slices.Grow(c.readAhead, max(len(c.readAhead), readAheadStep))
-	}
-	return c.readAhead[len(c.readAhead):min(cap(c.readAhead), maxReadAhead)]
-}
-
 // Write sets a new deadline for each write: a stream may last long, but a client that accepts no
 // data until the deadline is considered gone.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -288,57 +251,6 @@
 	return c.Conn.Write(p)
 }
 
-// WatchClose calls gone once if the client closes the connection before stop is called. Nothing
-// else may read from the connection in between. After stop has returned, gone is not called any
-// more.
-func (c *Conn) WatchClose(gone func()) (stop func()) {
-	done, stopped := make(chan struct{}), make(chan struct{})
-	var mu sync.Mutex                       // serializes gone with stop
-	_ = c.Conn.SetReadDeadline(time.Time{}) // clears the server's deadline for reading this request
-	go func() {
-		defer close(done)
-		for {
-			clientClosed := false
-			if len(c.readAhead) < maxReadAhead {
-				n, err := c.Conn.Read(c.readAheadSpace())
-				c.recordRead(n)
-				c.readAhead = c.readAhead[:len(c.readAhead)+n]
-				clientClosed = err != nil
-			} else if clientClosed = c.hungUp(); !clientClosed {
-				select {
-				case <-stopped:
-				case <-time.After(hangupPollInterval):
-				}
-			}
-			mu.Lock()
-			select {
-			case <-stopped:
-				mu.Unlock()
-				return
-			default:
-			}
-			if clientClosed {
-				gone()
-			}
-			mu.Unlock()
-			if clientClosed {
-				return
-			}
-		}
-	}()
-	var once sync.Once
-	return func() {
-		once.Do(func() {
-			mu.Lock()
-			close(stopped)
-			mu.Unlock()
-			_ = c.Conn.SetReadDeadline(time.Now().Add(-time.Second)) // unblocks the read
-			<-done
-			_ = c.Conn.SetReadDeadline(time.Time{})
-		})
-	}
-}
-
 // AwaitAnswer waits for the answer to a ticket. If the client closes the connection meanwhile, the
 // request ends. While a stream is relayed, the connection is watched until stop is called. The
 // header of the request is not available any more.
@@ -462,6 +374,8 @@
 		var headerErr *fasthttp.ErrSmallBuffer
 		var timeoutErr net.Error
 		switch {
+		case errors.Is(err, errOverrun):
+			refuse(ctx, fasthttp.StatusBadGateway, errOverrun.Error())
 		case errors.Is(err, fasthttp.ErrBodyTooLarge):
 			refuse(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is too large")
 		case errors.As(err, &headerErr):
@@ -499,7 +413,7 @@
 			}
 			handler(ctx, body)
 			// Requests that were read ahead are answered first.
-			if (!core.Phases.KeepAlive() || c.isRetired()) && len(c.readAhead) == 0 {
+			if (!core.Phases.KeepAlive() || c.isRetired() || c.ahead.isOverrun()) && !c.ahead.hasData() {
 				ctx.SetConnectionClose()
 			}
 		},
--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -28,6 +28,7 @@
 
 	maxBodyBytes int
 	bodyBytes    int       // bytes reserved for request bodies that are being read
+	aheadBytes   int       // bytes reserved for data that was read ahead
 	receiving    list.List // *Conn whose request body is being read, oldest first
 }
 
@@ -176,6 +177,29 @@
 		c.idleElem = nil
 	}
 	c.releaseBodyLocked()
+	cl.aheadBytes -= c.aheadBytes
+	c.aheadBytes = 0
+	return true
+}
+
+// aheadShare is the memory for data that is read ahead, as a share of that for request bodies. Both
+// are reserved apart, so that neither takes the room of the other.
+const aheadShare = 0.5
+
+// reserveAhead makes the bytes that are reserved for a connection's data that was read ahead enough
+// for so much data, and reports whether there was room for it. A small part needs no reservation.
+func (cl *ConnLimiter) reserveAhead(c *Conn, bytes int) bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if c.removed {
+		return false
+	}
+	bytes = max(bytes-freeReadAhead, 0)
+	total := cl.aheadBytes - c.aheadBytes + bytes
+	if bytes > c.aheadBytes && total > int(aheadShare*float64(cl.maxBodyBytes)) {
+		return false
+	}
+	cl.aheadBytes, c.aheadBytes = total, bytes
 	return true
 }
 
@@ -324,13 +348,14 @@
 // request that was read ahead or has already arrived is answered first.
 func (c *Conn) markIdle(began bool) (ends bool) {
 	cl := c.limiter
+	began = began || c.ahead.hasData()
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	if c.removed {
 		return false
 	}
 	c.enqueueIdle()
-	if began || len(c.readAhead) > 0 {
+	if began {
 		c.requestBegun = true
 		return false
 	}
--- a/internal/program/limits.go
+++ b/internal/program/limits.go
@@ -40,9 +40,9 @@
 
 	// Shares of the memory that the program leaves at rest. What they leave is for garbage.
 	connMemory     = 0.2  // connections of clients
-	requestMemory  = 0.3  // open requests
-	payloadMemory  = 0.2  // payloads of open requests
-	bodyReadMemory = 0.1  // request bodies that the core does not have yet
+	requestMemory  = 0.27 // open requests
+	payloadMemory  = 0.18 // payloads of open requests
+	bodyReadMemory = 0.1  // request bodies that the core does not have yet; half as much again for what is read ahead
 	decodeMemory   = 0.15 // bodies of the chat API that are being decoded
 	// Instructions of the chat API that are remembered. They are few and small in ordinary service.
 	instructionMemory = 0.05
--- a/internal/program/share_test.go
+++ b/internal/program/share_test.go
@@ -29,7 +29,7 @@
 	const largestBody, fewConns = 256 << 10, 100
 	for memoryMB := 32; memoryMB <= 2048; memoryMB *= 2 {
 		l := newProcessLimits(config.Limits{MemoryMB: memoryMB, Sockets: 1024})
-		sum := imageBytes + runtimeBytes + l.clientConns*connBytes + l.openRequests*requestBytes + l.payloadBytes + l.bodyReadBytes + l.decodeBytes + l.instructionBytes
+		sum := imageBytes + runtimeBytes + l.clientConns*connBytes + l.openRequests*requestBytes + l.payloadBytes + l.bodyReadBytes*3/2 + l.decodeBytes + l.instructionBytes
 		if sum > memoryMB<<20 || l.gcLimit >= int64(memoryMB<<20-imageBytes) {
 			t.Errorf("%d MB: %+v take %d bytes", memoryMB, l, sum)
 		}
