Know an id that may have run after its request has ended, and at the process beside

Callers saw an instruction run twice: its id came again after its client had left, or came to the other process of an upgrade.

Cause: the core knew an id for as long as its request was open, and each process knew its own. A request whose client leaves ends at once, while its attempt may have run. Class: an identity that is known for a shorter time, and in fewer places, than what it names can run.

Change: a request that must not run twice claims its id when it is admitted.

An id that was refused is taken again (TestIDMayComeAgainIfItDidNotRun). TestClaimIsGivenBackOnlyWithProof has each end of a request.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -18,6 +18,7 @@
 	payload         Payload
 	size            int  // bytes
 	hasSpace        bool // space for the payload is reserved
+	claimed         bool // the id is claimed
 	resumable       bool
 	intents         IntentRecorder
 	ticket          *Ticket
@@ -77,10 +78,11 @@
 		d.answer(r, Answer{Verdict: Refused, RetryAfter: fullRetryAfter, Reason: "too many requests wait to be decided"})
 	case len(d.requests) >= d.bounds.Requests || !r.hasSpace:
 		d.answer(r, Answer{Verdict: Refused, RetryAfter: fullRetryAfter, Reason: "too many requests are open"})
-	case d.lease != nil:
-		if err := d.lease.MayAdmit(Admission{r.class.Name, r.spec.Tenant, r.spec.Retried, r.class.Repeat == logic.Unsafe}); err != nil {
-			d.answer(r, Answer{Verdict: Refused, RetryAfter: retryAfterOf(err), SettingsVersion: noSettingsVersion, Reason: err.Error()})
-		}
+	default:
+		d.checkLease(r)
+	}
+	if !r.answered && !d.claim(r) {
+		d.answer(r, Answer{Verdict: Failed, Reason: "a request with this id may have run"})
 	}
 	if r.answered {
 		d.dropPayload(r)
@@ -98,6 +100,16 @@
 	d.route(logic.Event{Kind: logic.Arrived, RequestID: r.id, Request: r.spec})
 }
 
+// checkLease refuses a request that the lease does not admit.
+func (d *Dispatcher) checkLease(r *request) {
+	if d.lease == nil {
+		return
+	}
+	if err := d.lease.MayAdmit(Admission{r.class.Name, r.spec.Tenant, r.spec.Retried, r.class.Repeat == logic.Unsafe}); err != nil {
+		d.answer(r, Answer{Verdict: Refused, RetryAfter: retryAfterOf(err), SettingsVersion: noSettingsVersion, Reason: err.Error()})
+	}
+}
+
 // deadlinePassed fails a request that the decision module has not answered by its deadline.
 func (d *Dispatcher) deadlinePassed(r *request) {
 	if !r.answered {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -116,6 +116,15 @@
 	Probe(addr string, then func(logic.Outcome))
 }
 
+// Claims remembers the ids of requests that must not run twice. An id that was claimed may have run,
+// or may run, also at another process of this dispatcher. Its methods do not block.
+type Claims interface {
+	// Claim claims an id and reports whether it was free.
+	Claim(id string) bool
+	// Release gives a claim back: the request has not run.
+	Release(id string)
+}
+
 // Clock returns the current time. Only differences between its readings are used.
 type Clock func() time.Time
 
@@ -129,6 +138,7 @@
 	Counts *Counts
 	Delays *Delays
 	Prober Prober // set before Run; nil: probes count as unanswered
+	Claims Claims // set before Run; nil: ids are known while their requests are open
 
 	settings logic.Settings
 	router   *logic.Router
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -122,6 +122,7 @@
 		delete(d.requests, r.id)
 		d.dropPayload(r)
 		d.stopTimers(r)
+		d.releaseClaim(r)
 		// This is needed after an answer too: the read may end at its replica after the fetch that
 		// released everything else.
 		if r.orphaned {
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -105,6 +105,24 @@
 	}
 }
 
+// claim claims the id of a request that must not run twice, and reports whether the request may go
+// on. It may not if a request with the same id may have run before, or is open at another process.
+func (d *Dispatcher) claim(r *request) bool {
+	if d.Claims == nil || r.class.Repeat == logic.Safe {
+		return true
+	}
+	r.claimed = d.Claims.Claim(r.id)
+	return r.claimed
+}
+
+// releaseClaim gives the claim of a request back when it is forgotten, if its client may send it
+// again: it was refused, or it is proven not to have run.
+func (d *Dispatcher) releaseClaim(r *request) {
+	if r.claimed && (r.verdict == Refused || !r.mayRun() && !r.uncertain()) {
+		d.Claims.Release(r.id)
+	}
+}
+
 // mayRefuse reports whether retrying the request is harmless: it may run any number of times, all
 // replicas discard its repeats, or it is proven not to have run. An attempt in flight proves
 // nothing yet, even at a reader, and neither does a read that was given up.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -6,6 +6,7 @@
 //	stack.go      everything that serves clients: the core, its discovery and its fronts
 //	fronts.go     the fronts at the addresses of the configuration in force
 //	apply.go      how a configuration replaces the one before
+//	claims.go     the table of ids that must not run twice
 //	limits.go     the bounds that follow from the limits of a configuration
 //	drain.go      the shutdown sequence from SIGTERM to exit
 //	admin.go      what the admin endpoint shows and does
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -54,6 +54,7 @@
 	}
 	s.core.Counts = &p.counts
 	s.core.Prober = replica.Prober{Pool: p.pool}
+	s.core.Claims = p.openClaims(cfg)
 	if p.lease != nil {
 		s.core.SetLease(p.lease)
 	}
