Know an instruction's Idempotency-Key at the process beside, too

Change: a request may name an identity for its claim, and the chat API names the client's key. A claim that is taken is answered 424, as at the process that took the original.

Test: TestKeyRunsOnceAcrossAnUpgrade, 200 and a second run at the new process without the change.

--- a/cmd/standpulley/identity_test.go
+++ b/cmd/standpulley/identity_test.go
@@ -130,3 +130,28 @@
 		t.Error("the two processes do not share a folder")
 	}
 }
+
+// TestKeyRunsOnceAcrossAnUpgrade guards against an instruction of the chat API that runs at the old
+// process and, under the same Idempotency-Key, at the new version beside it.
+func TestKeyRunsOnceAcrossAnUpgrade(t *testing.T) {
+	list, written := holdingFleet(t, 2*time.Second)
+	old := startLimited(t, leastMemoryMB, mostDescriptors, list...)
+	body := `{"model":"act","messages":[{"role":"user","content":"pay"}]}`
+	instruction := func(key string) string {
+		return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\n\r\n%s", key, len(body), body)
+	}
+	leave(t, dial(t, old.file.Chat.Listen), instruction("one"), written)
+	next := startDeployed(t, old.file, old.env)
+	if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second) // the old process has closed its address
+	for key, want := range map[string]int{"one": 424, "two": 200} {
+		if status, answer, err := readResponse(t, sendText(t, next.file.Chat.Listen, instruction(key))); err != nil || status != want {
+			t.Errorf("key %s at the new process: %d %q %v, want %d", key, status, answer, err, want)
+		}
+	}
+	if n := written.Load(); n != 2 {
+		t.Errorf("2 instructions were sent to writers %d times", n)
+	}
+}
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -11,6 +11,7 @@
 // attempt in flight.
 type request struct {
 	id              string
+	identity        string // what Claims knows it by
 	spec            logic.Request
 	received        time.Time
 	deadline        time.Time
@@ -82,7 +83,7 @@
 		d.checkLease(r)
 	}
 	if !r.answered && !d.claim(r) {
-		d.answer(r, Answer{Verdict: Failed, Reason: "a request with this id may have run"})
+		d.answer(r, Answer{Verdict: Failed, Reason: "a request with this id may have run", MayRun: true})
 	}
 	if r.answered {
 		d.dropPayload(r)
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -111,7 +111,7 @@
 	if d.Claims == nil || r.class.Repeat == logic.Safe {
 		return true
 	}
-	r.claimed = d.Claims.Claim(r.id)
+	r.claimed = d.Claims.Claim(r.identity)
 	return r.claimed
 }
 
@@ -119,7 +119,7 @@
 // again: it was refused, or it is proven not to have run.
 func (d *Dispatcher) releaseClaim(r *request) {
 	if r.claimed && (r.verdict == Refused || !r.mayRun() && !r.uncertain()) {
-		d.Claims.Release(r.id)
+		d.Claims.Release(r.identity)
 	}
 }
 
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -108,7 +108,7 @@
 	if r.answered {
 		return
 	}
-	a.MayRun = r.mayRun()
+	a.MayRun = a.MayRun || r.mayRun()
 	if a.SettingsVersion == "" {
 		a.SettingsVersion = d.settingsVersion()
 	}
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"standpulley/logic"
@@ -9,6 +10,7 @@
 // Request is a request that a front submits.
 type Request struct {
 	ID        string
+	Identity  string // what must not run twice; empty: ID
 	Spec      logic.Request
 	Received  time.Time // arrival of the last byte; the deadline counts from here
 	Payload   Payload
@@ -78,7 +80,7 @@
 // Submit hands a request to the core.
 func (d *Dispatcher) Submit(q Request) *Ticket {
 	t := &Ticket{dispatcher: d, answer: make(chan Answer, 1), finished: make(chan struct{})}
-	t.request = &request{id: q.ID, spec: q.Spec, received: q.Received, payload: q.Payload, size: q.Size, resumable: q.Resumable, intents: q.Intents, ticket: t,
+	t.request = &request{id: q.ID, identity: cmp.Or(q.Identity, q.ID), spec: q.Spec, received: q.Received, payload: q.Payload, size: q.Size, resumable: q.Resumable, intents: q.Intents, ticket: t,
 		checkClientGone: q.ClientGone}
 	if t.request.hasSpace = d.payloads.reserve(q.Size); !t.request.hasSpace {
 		t.request.payload = nil // not before the core refuses the request: the core may be behind
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -153,6 +153,7 @@
 	id := newRequestID()
 	ctx.Response.Header.Set("X-Request-Id", id)
 
+	identity := ""
 	done := func(mayHaveRun bool) {}
 	var recorder dispatch.IntentRecorder
 	switch {
@@ -177,12 +178,15 @@
 			return nil
 		}
 		done = func(mayHaveRun bool) { f.shared.Instructions.finish(key, mayHaveRun) }
+		if named { // a new version beside this process knows what is claimed
+			identity = fmt.Sprintf("key %016x", key)
+		}
 	}
 	size := len(text)
 	if !b.Stream {
 		size += answerBytes(spec)
 	}
-	t := f.core.Submit(dispatch.Request{ID: id, Spec: spec, Received: received, ClientGone: front.ClientGone(ctx), Size: size, Intents: recorder, Payload: &replica.Request{
+	t := f.core.Submit(dispatch.Request{ID: id, Identity: identity, Spec: spec, Received: received, ClientGone: front.ClientGone(ctx), Size: size, Intents: recorder, Payload: &replica.Request{
 		Pool: f.pool, ID: id, Method: fasthttp.MethodPost, URI: completionsPath, Host: string(h.Host()), Body: text,
 		Headers: upstreamHeaders(spec, h)}})
 	decoded()
