Wait for an answer as long as its replica goes on writing

Callers saw long answers cut off that a replica was still writing, slowly.

Cause: the limits on a head, a first event and a pause counted from the beginning of the part that was read. A chunk is read whole before it is passed on, so one that took longer than 4.75 s to come ended the stream; a head or a first event that took longer than 0.4 s failed the attempt. Class: a time limit on silence that is set once, for a read that consists of many.

Change: each read from the network sets its own deadline: 0.4 s of silence in a head, 1 s in the first event, 4.75 s later; before the first event the attempt's deadline holds too. A stream's buffer grows with the chunk up to 16 KB, so that a chunk that fits is passed on whole or not at all, as before.

TestSlowlyWrittenAnswersAreNotCut: 5 of 5 cases fail before, none now.

--- a/internal/replica/answer.go
+++ b/internal/replica/answer.go
@@ -19,8 +19,12 @@
 // and is not passed on.
 
 const (
-	// A replica sends a head at once, so one that is still incomplete after this time never ends.
-	headTimeout     = 400 * time.Millisecond
+	// A replica sends a head at once, and a first event soon behind it. Those that are silent for so
+	// long in the middle of either never go on.
+	headSilence  = 400 * time.Millisecond
+	eventSilence = time.Second
+	// pieceWait is how long a part of a chunk is held for the rest of it.
+	pieceWait       = 150 * time.Millisecond
 	maxInterim      = 100       // interim (1xx) answers before the final one
 	maxChunk        = 256 << 10 // bytes, the limit of any body
 	maxLine         = 1 << 10   // bytes of a chunk size line or a trailer field
@@ -39,18 +43,30 @@
 		if _, err := a.c.br.Peek(1); err != nil {
 			return false, err
 		}
-		a.setReadTimeout(headTimeout)
+		a.allowSilence(headSilence)
 		if err := a.resp.Header.Read(a.c.br); err != nil {
 			return true, err
 		}
 		if s := a.resp.StatusCode(); s >= fasthttp.StatusOK || s == fasthttp.StatusSwitchingProtocols {
 			return false, nil
 		}
-		a.setReadTimeout(time.Until(a.to.Until))
+		a.awaitUntilDeadline()
 	}
 	return true, fmt.Errorf("%w: too many interim answers", errBadFraming)
 }
 
+// allowSilence bounds the time for which each of the connection's next reads waits for data. A
+// replica that goes on sending is waited for, however slowly it sends.
+func (a *attempt) allowSilence(limit time.Duration) {
+	a.c.beforeRead = func() { a.setReadTimeout(limit) }
+}
+
+// awaitUntilDeadline lets the connection's next reads wait for data until the attempt's deadline.
+func (a *attempt) awaitUntilDeadline() {
+	a.c.beforeRead = nil
+	a.setReadTimeout(time.Until(a.to.Until))
+}
+
 // setReadTimeout bounds the time of the connection's next reads, within the deadline of the
 // attempt. It does nothing once the attempt is cancelled or its deadline is lifted.
 func (a *attempt) setReadTimeout(timeout time.Duration) {
@@ -127,34 +143,44 @@
 // the chunk is seen to end there, so a chunk that fits into the buffer of one Read is returned
 // whole or not at all.
 type chunkedBody struct {
-	br   *bufio.Reader
-	left int // bytes of the current chunk
+	br      *bufio.Reader
+	inChunk bool // the size of the current chunk is known
+	left    int  // bytes of the current chunk
+}
+
+// begin reads the size of the next chunk, unless it is known, and returns how much of the chunk is
+// left.
+func (c *chunkedBody) begin() (left int, err error) {
+	if c.inChunk {
+		return c.left, nil
+	}
+	if c.left, err = c.readSize(); err == nil {
+		c.inChunk = true
+	}
+	return c.left, err
 }
 
 func (c *chunkedBody) Read(p []byte) (int, error) {
-	if c.left == 0 {
-		size, err := c.readSize()
-		if err != nil {
-			return 0, err
-		}
-		if size == 0 {
-			return 0, c.readTrailer()
-		}
-		c.left = size
+	if left, err := c.begin(); err != nil {
+		return 0, err
+	} else if left == 0 {
+		return 0, c.readTrailer()
 	}
 	n, err := io.ReadFull(c.br, p[:min(len(p), c.left)])
 	if err != nil {
 		return 0, noEOF(err)
 	}
-	if c.left -= n; c.left == 0 {
-		line, err := c.readLine()
-		if err == nil && line != "" {
-			err = fmt.Errorf("%w: a chunk does not end where it says", errBadFraming)
-		}
-		if err != nil {
-			return 0, err
-		}
+	if c.left -= n; c.left > 0 {
+		return n, nil
+	}
+	line, err := c.readLine()
+	if err == nil && line != "" {
+		err = fmt.Errorf("%w: a chunk does not end where it says", errBadFraming)
+	}
+	if err != nil {
+		return 0, err
 	}
+	c.inChunk = false
 	return n, nil
 }
 
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -122,7 +122,7 @@
 	if a.resp.StatusCode() != fasthttp.StatusOK {
 		return a.readAnswer(body), nil
 	}
-	a.setReadTimeout(time.Until(a.to.Until))
+	a.awaitUntilDeadline()
 	s := &stream{a: a, body: body, buf: make([]byte, streamBuffer)}
 	if err = s.open(); err != nil {
 		return a.brokenAnswer(true, err), nil
@@ -277,13 +277,13 @@
 	if _, err := s.a.c.br.Peek(1); err != nil {
 		return err
 	}
-	s.a.setReadTimeout(headTimeout)
+	s.a.allowSilence(eventSilence)
 	for !hasEvent(s.buf[:s.pending]) {
+		if err := s.makeRoom(); err != nil {
+			return err
+		}
 		if s.pending == len(s.buf) {
-			if len(s.buf) >= maxStreamBuffer {
-				return nil
-			}
-			s.buf = append(s.buf, make([]byte, len(s.buf))...)
+			return nil
 		}
 		n, err := s.body.Read(s.buf[s.pending:])
 		s.pending += n
@@ -298,8 +298,30 @@
 	return nil
 }
 
+// makeRoom makes the buffer large enough for the next chunk, up to maxStreamBuffer: a chunk that fits
+// is passed on only once it is verified.
+func (s *stream) makeRoom() error {
+	need := s.pending + streamBuffer
+	if body, ok := s.body.(*chunkedBody); ok {
+		left, err := body.begin()
+		if err != nil {
+			return err
+		}
+		need = s.pending + left
+	}
+	if size := min(need, maxStreamBuffer); size > len(s.buf) {
+		s.buf = append(s.buf, make([]byte, size-len(s.buf))...)
+	}
+	return nil
+}
+
 var errStalled = errors.New("no event for too long")
 
+// allowPause lets the next read from the network wait for data for StallTimeout.
+func (s *stream) allowPause() {
+	_ = s.a.c.SetReadDeadline(time.Now().Add(s.a.req.Pool.StallTimeout)) // an error recurs in the read
+}
+
 // Next returns the next bytes as they arrive. A stream has no deadline: it is cut only if no data
 // arrives for StallTimeout.
 func (s *stream) Next() ([]byte, error) {
@@ -309,9 +331,12 @@
 		s.a.liftDeadline()
 		return s.buf[:n], nil
 	}
+	s.a.c.beforeRead = s.allowPause
+	if s.err == nil {
+		s.err = s.makeRoom()
+	}
 	if s.err == nil {
 		var n int
-		_ = s.a.c.SetReadDeadline(time.Now().Add(s.a.req.Pool.StallTimeout)) // an error recurs in the read
 		n, s.err = s.body.Read(s.buf)
 		if n > 0 {
 			return s.buf[:n], nil
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -47,9 +47,18 @@
 // conn is a connection with its read buffer, which is kept across requests.
 type conn struct {
 	net.Conn
-	br      *bufio.Reader
-	addr    string
-	idledAt time.Time
+	br         *bufio.Reader
+	addr       string
+	idledAt    time.Time
+	beforeRead func() // called before each read from the network, to set its deadline; may be nil
+}
+
+// Read reads from the network. The buffer br calls it when it is empty.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.beforeRead != nil {
+		c.beforeRead()
+	}
+	return c.Conn.Read(p)
 }
 
 // age describes for the log whether a connection is new, or how long it has been idle since its
@@ -171,7 +180,9 @@
 		return nil, err
 	}
 	p.counts.Made++
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer), addr: addr}, nil
+	pc := &conn{Conn: c, addr: addr}
+	pc.br = bufio.NewReaderSize(pc, readBuffer)
+	return pc, nil
 }
 
 // reserve counts a connection that is about to be opened, and evicts the least recently used idle
@@ -223,6 +234,7 @@
 // are open than attempts may use, it is closed instead: an attempt would take it from the idle ones
 // and so occupy a connection that is reserved for urgent calls.
 func (p *Pool) put(c *conn) {
+	c.beforeRead = nil
 	if c.br.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		p.drop(c)
 		return
--- a/internal/replica/stall_test.go
+++ b/internal/replica/stall_test.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,3 +44,57 @@
 		})
 	}
 }
+
+// TestSlowlyWrittenAnswersAreNotCut guards against time limits that count from the beginning of a
+// part of an answer: a live answer was cut while its replica was still writing it.
+func TestSlowlyWrittenAnswersAreNotCut(t *testing.T) {
+	t.Parallel()
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	event := "data: " + strings.Repeat("x", 20) + "\n\n"
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	long := "data: " + strings.Repeat("x", 8<<10) + "\n\n"
+	const end = "0\r\n\r\n"
+	// slowly writes a text in pieces of the given size.
+	slowly := func(x *fake.Exchange, text string, size int, pause time.Duration) {
+		for ; len(text) > 0 && !x.Broken(); text = text[min(size, len(text)):] {
+			_, _ = io.WriteString(x.Conn, text[:min(size, len(text))]) // the test sees that the answer is incomplete
+			time.Sleep(pause)
+		}
+	}
+	for name, act := range map[string]func(*fake.Exchange){
+		"the head":        func(x *fake.Exchange) { slowly(x, head, 4, 50*time.Millisecond); slowly(x, chunk+end, 100, 0) },
+		"the first event": func(x *fake.Exchange) { slowly(x, head, 100, 0); slowly(x, chunk+end, 1, 50*time.Millisecond) },
+		"a later event": func(x *fake.Exchange) {
+			slowly(x, head+chunk, 200, 0)
+			slowly(x, chunk+end, 1, 100*time.Millisecond)
+		},
+		"a long event": func(x *fake.Exchange) {
+			slowly(x, head+chunk+fmt.Sprintf("%x\r\n", len(long)), 200, 0)
+			slowly(x, long, 256, 50*time.Millisecond)
+			slowly(x, "\r\n"+end, 100, 0)
+		},
+		"a body of known length": func(x *fake.Exchange) {
+			slowly(x, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(long)), 100, 0)
+			slowly(x, long, 256, 50*time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := NewPool(4, 0, 0)
+			p.StallTimeout = 400 * time.Millisecond
+			rep, _ := send(p, startReplica(t, func(x *fake.Exchange) { act(x); x.WaitClosed() }).Addr, 10*time.Second, "b")
+			select {
+			case s := <-rep.began:
+				_, err := s.Next()
+				for err == nil {
+					_, err = s.Next()
+				}
+				if got := rep.result(t); err != io.EOF || got.Outcome != logic.Delivered {
+					t.Errorf("%+v, %v", got, err)
+				}
+			case <-time.After(8 * time.Second):
+				t.Error("no event")
+			}
+		})
+	}
+}
