Tell operators what takes the memory, and why a client's connection ended with an error

The incident's evidence could not say what had ended a process: no figure of memory was logged, and a close after an error response was neither counted nor logged.

Connections that end with an error response count by cause: malformed, too_large, request_late, overrun.

--- a/internal/dispatch/payloadspace.go
+++ b/internal/dispatch/payloadspace.go
@@ -21,6 +21,10 @@
 
 func (s *payloadSpace) release(bytes int) { s.used.Add(-int64(bytes)) }
 
+// PayloadBytes returns the size of the payloads of all open requests. It may be called from any
+// goroutine.
+func (d *Dispatcher) PayloadBytes() int { return int(d.payloads.used.Load()) }
+
 // dropPayload frees the payload of a request that will not be sent any more. Timers and queues may
 // refer to the request for longer.
 func (d *Dispatcher) dropPayload(r *request) {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -370,20 +370,28 @@
 // each response is the last on its connection.
 func NewServer(core *dispatch.Dispatcher, handler Handler, refuse func(ctx *fasthttp.RequestCtx, status int, text string),
 	maxBody int) *fasthttp.Server {
+	reject := func(ctx *fasthttp.RequestCtx, cause dispatch.Cause, status int, text string) {
+		if c, ok := ctx.Conn().(*Conn); ok {
+			c.limiter.ReportClose(cause, c)
+		}
+		refuse(ctx, status, text)
+		ctx.SetConnectionClose()
+	}
 	handleReadError := func(ctx *fasthttp.RequestCtx, err error) {
 		var headerErr *fasthttp.ErrSmallBuffer
-		var timeoutErr net.Error
 		switch {
+		case errors.Is(err, net.ErrClosed): // evicted and answered before
+			refuse(ctx, fasthttp.StatusBadRequest, "the connection is closed")
 		case errors.Is(err, errOverrun):
-			refuse(ctx, fasthttp.StatusBadGateway, errOverrun.Error())
+			reject(ctx, Overrun, fasthttp.StatusBadGateway, errOverrun.Error())
 		case errors.Is(err, fasthttp.ErrBodyTooLarge):
-			refuse(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is too large")
+			reject(ctx, TooLarge, fasthttp.StatusRequestEntityTooLarge, "the body is too large")
 		case errors.As(err, &headerErr):
-			refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is too large")
-		case errors.As(err, &timeoutErr) && timeoutErr.Timeout():
-			refuse(ctx, fasthttp.StatusRequestTimeout, "the request did not come in time")
+			reject(ctx, TooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is too large")
+		case isTimeout(err):
+			reject(ctx, RequestLate, fasthttp.StatusRequestTimeout, "the request did not come in time")
 		default:
-			refuse(ctx, fasthttp.StatusBadRequest, "malformed request")
+			reject(ctx, Malformed, fasthttp.StatusBadRequest, "malformed request")
 		}
 	}
 	return &fasthttp.Server{
@@ -391,20 +399,17 @@
 			c := ctx.Conn().(*Conn)
 			if hasTooManyFields(ctx.Request.Header.RawHeaders()) {
 				releaseHeader(ctx)
-				refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header has too many fields")
-				ctx.SetConnectionClose()
+				reject(ctx, TooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header has too many fields")
 				return
 			}
 			if err := checkFraming(ctx.Request.Header.RawHeaders()); err != nil {
-				refuse(ctx, fasthttp.StatusBadRequest, "malformed request: "+err.Error())
-				ctx.SetConnectionClose()
+				reject(ctx, Malformed, fasthttp.StatusBadRequest, "malformed request: "+err.Error())
 				return
 			}
 			defer c.releaseBody()
 			body, err := c.readBody(ctx, maxBody)
 			if err != nil {
 				handleReadError(ctx, err)
-				ctx.SetConnectionClose()
 				return
 			}
 			if !c.markBusy() || c.ClientClosed() {
--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -32,6 +32,20 @@
 	receiving    list.List // *Conn whose request body is being read, oldest first
 }
 
+// Use is what the connections of all clients take at present.
+type Use struct {
+	Connections int
+	BodyBytes   int // of bodies that the core does not have yet
+	AheadBytes  int // read ahead, beyond what each connection may keep
+}
+
+// Use returns what the connections of all clients take at present.
+func (cl *ConnLimiter) Use() Use {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return Use{cl.open, cl.bodyBytes, cl.aheadBytes}
+}
+
 // Causes for closing a client's connection.
 const (
 	Evicted      dispatch.Cause = "evicted"       // another client needed the slot
@@ -39,8 +53,19 @@
 	NoPlace      dispatch.Cause = "no_place"      // new, but every slot had an open request; answered 502
 	SentAway     dispatch.Cause = "sent_away"     // operators drain the dispatcher of its clients
 	Leaving      dispatch.Cause = "leaving"       // its server shuts down and no request was on the connection
+	Malformed    dispatch.Cause = "malformed"     // the request can't be read; answered 400
+	TooLarge     dispatch.Cause = "too_large"     // the header or the body is too large; answered 431 or 413
+	RequestLate  dispatch.Cause = "request_late"  // the request was not whole in time; answered 408
+	Overrun      dispatch.Cause = "overrun"       // too much was sent behind a request; answered 502
 )
 
+// ReportClose calls OnClose for a connection that ends with an error response.
+func (cl *ConnLimiter) ReportClose(cause dispatch.Cause, c net.Conn) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.reportClose(cause, c)
+}
+
 // reportClose calls OnClose. The limiter is locked.
 func (cl *ConnLimiter) reportClose(cause dispatch.Cause, c net.Conn) {
 	if cl.OnClose != nil {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -7,6 +7,7 @@
 //	fronts.go     the fronts at the addresses of the configuration in force
 //	apply.go      how a configuration replaces the one before
 //	claims.go     the table of ids that must not run twice
+//	memory.go     what takes the memory, for operators
 //	limits.go     the bounds that follow from the limits of a configuration
 //	drain.go      the shutdown sequence from SIGTERM to exit
 //	admin.go      what the admin endpoint shows and does
@@ -52,6 +53,7 @@
 	counts        dispatch.Counts
 	applied       atomic.Int64 // configurations applied on SIGHUP
 	rejected      atomic.Int64 // configurations rejected on SIGHUP
+	gcLimit       atomic.Int64 // bytes; limit on Go's memory
 	operatorDrain atomic.Bool  // an operator has drained the program
 	// Another process may listen on the client address, so that a new version can take over.
 	shared    bool
@@ -160,6 +162,7 @@
 		m.agreement.Store(p.agreement)
 	}
 	go p.closeIdleClients(ctx)
+	go p.watchMemory(ctx)
 	for {
 		select {
 		case termAt := <-stop:
