Soak clients that misbehave, at the least memory, and keep a starting process's file whole

The soak had no client that sends unsound or large requests, floods, leaves much unread or sends an id again, nor a limit on memory that anybody checked.

Harness: a process that starts could read a file that a series of configurations was just cutting short, as the file was held only until the process ignored SIGHUP; now until it is ready. Addresses that a file names were picked from the free ports of the machine and let go of before they were used; now they are the run's own.

--- a/cmd/proving/soak.go
+++ b/cmd/proving/soak.go
@@ -17,6 +17,10 @@
 	Length time.Duration `default:"10s" help:"Of the traffic of one seed."`
 	Size   float64       `default:"1" help:"Scales the number of processes; 1 is from 10 to 40."`
 	Beside int           `default:"2" help:"Seeds that are played at once."`
+
+	BadClients bool `help:"Clients that misbehave appear too."`
+	MemoryMB   int  `default:"128" help:"Memory limit of each dispatcher."`
+	Race       bool `help:"The program has the race detector, and can't keep its memory limit."`
 }
 
 // Run plays the seeds and prints a line for each, followed by its findings.
@@ -37,7 +41,7 @@
 		slots <- true
 		wait.Go(func() {
 			defer func() { <-slots }()
-			findings, text := s.playSeed(seed, soak.Program{Dispatcher: binary, Replica: self}, c.Keep)
+			findings, text := s.playSeed(seed, soak.Program{Dispatcher: binary, Replica: self, LimitMemory: !s.Race}, c.Keep)
 			mu.Lock()
 			defer mu.Unlock()
 			played++
@@ -62,6 +66,10 @@
 		return 1, err.Error() + "\n"
 	}
 	scenario := soak.Generate(seed, s.Size, s.Length)
+	scenario.MemoryMB = s.MemoryMB
+	if s.BadClients {
+		scenario = scenario.WithBadClients()
+	}
 	rec, err := soak.Run(context.Background(), scenario, p, folder)
 	if err != nil {
 		return 1, fmt.Sprintf("seed %d: %v (its files: %s)\n", seed, err, folder)
--- a/cmd/standpulley/crowd_test.go
+++ b/cmd/standpulley/crowd_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,21 +26,6 @@
 	return text.String()
 }
 
-// peakMemory returns the most memory in bytes that a process had resident so far.
-func peakMemory(t *testing.T, pid int) int {
-	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, line, _ := strings.Cut(string(status), "VmHWM:")
-	kb, err := strconv.Atoi(strings.Fields(line)[0])
-	if err != nil {
-		t.Fatal(err)
-	}
-	return kb << 10
-}
-
 // TestCrowdOfChatBodiesStaysInMemory guards against the memory of bodies between their last byte and
 // the core: a crowd of conversations of very short turns took the program over its limit. The
 // program is built without the race detector, which multiplies its memory.
--- a/cmd/standpulley/memory_test.go
+++ b/cmd/standpulley/memory_test.go
@@ -19,6 +19,7 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"standpulley/internal/fake"
+	"standpulley/internal/soak"
 )
 
 // The least memory and the most descriptors that the platform gives a dispatcher.
@@ -100,7 +101,7 @@
 		t.Fatalf("the process has ended: %s", p.out)
 	default:
 	}
-	peak := peakMemory(t, p.cmd.Process.Pid)
+	peak := soak.PeakMemory(p.cmd.Process.Pid)
 	t.Logf("peak %d KB", peak>>10)
 	if limit := p.file.Limits.MemoryMB << 20; peak >= limit {
 		t.Errorf("%d KB resident, limit %d KB", peak>>10, limit>>10)
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -24,6 +24,8 @@
 	ExitCode int            // signaledExitCode if a signal ended the process
 	Signal   syscall.Signal // signal that ended the process; 0: it exited by itself
 	Paused   []Period       // while stopped by SIGSTOP
+
+	PeakMemory int // most memory in bytes that was resident
 }
 
 // signaledExitCode is the exit code that Go reports for a process that a signal ended.
@@ -87,6 +89,7 @@
 		d.mu.Unlock()
 	}()
 	go d.awaitReady(process)
+	go d.watchMemory(cmd.Process.Pid, process)
 	return nil
 }
 
@@ -160,6 +163,13 @@
 	return len(d.processes) > 0 && d.current().Exited.IsZero()
 }
 
+// isReady reports whether the running process has been ready.
+func (d *dispatcher) isReady() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.processes) > 0 && !d.current().Ready.IsZero()
+}
+
 // acceptsConns reports whether the load balancer sends the dispatcher new connections.
 func (d *dispatcher) acceptsConns() bool {
 	d.mu.Lock()
@@ -200,9 +210,9 @@
 )
 
 // configure writes the configuration file of the dispatcher.
-func (d *dispatcher) configure(set map[string]any, sockets int) error {
+func (d *dispatcher) configure(set map[string]any, memoryMB, sockets int) error {
 	text, err := jsoniter.Marshal(map[string]any{"name": d.name, "seed": "1", "listen": d.listen, "discovery": d.agent.Addr, "settings": set,
-		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": sockets}})
+		"limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets}})
 	if err != nil {
 		return err
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -217,20 +217,36 @@
 	_ = waitUntil(time.Second, exited) // the process can't delay its end after SIGKILL
 }
 
-// restart starts a dispatcher that is down.
+// restart starts a dispatcher that is down. Its file stays as it is until the process has read it: a
+// process that starts with half a file ends with an error, as it should.
 func (r *run) restart(d *dispatcher) {
 	d.fileMu.Lock()
-	defer d.fileMu.Unlock()
+	if !r.startIfDown(d) {
+		d.fileMu.Unlock()
+		return
+	}
+	go func() {
+		defer d.fileMu.Unlock()
+		_ = waitUntil(readyTimeMax, func() bool { return !d.running() || d.isReady() }) // whether it gets ready is judged elsewhere
+	}()
+}
+
+// startIfDown starts a dispatcher that is down, and reports whether it was.
+func (r *run) startIfDown(d *dispatcher) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if d.running() {
-		return
+		return false
 	}
 	if err := d.start(r.dispatcherProgram()); err != nil {
 		r.rec.Problems = append(r.rec.Problems, fmt.Sprintf("%s failed to start: %v", d.name, err))
 	}
+	return true
 }
 
+// readyTimeMax is how long the file of a process that starts stays as it is.
+const readyTimeMax = 3 * time.Second
+
 // reload sends SIGHUP for changed settings, for a truncated file and for the original settings, with
 // pauses shorter than a reload takes.
 func (r *run) reload(f fault, d *dispatcher) {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -69,6 +69,8 @@
 	}
 	j.checkDrains()
 	j.checkProcesses()
+	j.checkRepeatedIDs()
+	j.checkMemory()
 	for _, text := range rec.Problems {
 		j.addFinding(RuleClient, "%s", text)
 	}
--- a/internal/soak/large.go
+++ b/internal/soak/large.go
@@ -138,7 +138,7 @@
 		return err
 	}
 	r.dispatchers = append(r.dispatchers, d)
-	if err := d.configure(settings(r.large.Siblings, r.classes), r.scenario.Sockets); err != nil {
+	if err := d.configure(settings(r.large.Siblings, r.classes), usualMemoryMB, r.scenario.Sockets); err != nil {
 		return err
 	}
 	if err := d.start(r.dispatcherProgram()); err != nil {
--- a/internal/soak/reconfigure.go
+++ b/internal/soak/reconfigure.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"syscall"
 	"time"
@@ -81,32 +80,19 @@
 
 // changeChat adds a chat API at a new address, with one more model each time.
 func (r *run) changeChat(_ *dispatcher, file map[string]any) error {
-	addr, err := freeAddr(r.host)
-	if err != nil {
-		return err
-	}
 	models := map[string]any{}
 	if chat, ok := file["chat"].(map[string]any); ok {
 		models = chat["models"].(map[string]any)
 	}
 	models[fmt.Sprintf("model-%d", len(models))] = r.scenario.Classes[0].Name
-	file["chat"] = map[string]any{"listen": addr, "models": models, "max_output": 400}
+	file["chat"] = map[string]any{"listen": r.addr(), "models": models, "max_output": 400}
 	return nil
 }
 
-// freeAddr returns an address of the host on which nothing listens.
-func freeAddr(host string) (string, error) {
-	ln, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return "", err
-	}
-	return ln.Addr().String(), ln.Close()
-}
-
 // moveDiscovery moves discovery to another address. The one before accepts no more connections, and
 // ends the open ones some time later.
 func (r *run) moveDiscovery(d *dispatcher, file map[string]any) error {
-	next, err := NewLink(r.host+":0", d.agent.Addr)
+	next, err := NewLink(r.addr(), d.agent.Addr)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -24,6 +24,9 @@
 type Program struct {
 	Dispatcher, Replica       string
 	DispatcherEnv, ReplicaEnv []string
+	// LimitMemory is set if the dispatchers must keep their memory limit. One with the race detector
+	// can't.
+	LimitMemory bool
 }
 
 // Record holds everything that was observed in a run.
@@ -41,7 +44,10 @@
 	// configuration files that could not be read or written
 	Problems       []string
 	HadIdleClients map[string]bool // dispatchers that had many idle clients
-	Stall          time.Duration   // longest time for which the test process itself was not scheduled
+	RepeatedIDs    []RepeatedID
+	// MemoryIsLimited is set if the dispatchers must keep their memory limit.
+	MemoryIsLimited bool
+	Stall           time.Duration // longest time for which the test process itself was not scheduled
 }
 
 // Drain is a replica that discovery listed as draining.
@@ -71,9 +77,9 @@
 	clients     *clients
 	entries     []fake.Entry
 	host        string
-	port        int // port of the address that addr returned last
 
 	mu      sync.Mutex // guards the fields below
+	port    int        // port of the address that addr returned last
 	rec     Record
 	classes []class
 	faults  sync.WaitGroup // faults in progress
@@ -83,7 +89,7 @@
 // stay there.
 func Run(ctx context.Context, s Scenario, p Program, folder string) (Record, error) {
 	r := &run{scenario: s, programs: p, folder: folder, classes: s.Classes}
-	r.rec = Record{Scenario: s, Processes: map[string][]*Process{}, Logs: map[string]string{}, FaultPeriods: map[string][]Period{}, HadIdleClients: map[string]bool{}}
+	r.rec = Record{Scenario: s, MemoryIsLimited: p.LimitMemory, Processes: map[string][]*Process{}, Logs: map[string]string{}, FaultPeriods: map[string][]Period{}, HadIdleClients: map[string]bool{}}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return r.rec, err
@@ -98,6 +104,12 @@
 			r.reconfigure(c)
 		})
 	}
+	for _, b := range s.BadClients {
+		r.faults.Go(func() {
+			time.Sleep(time.Until(r.rec.Started.Add(b.At)))
+			r.sendBadClients(b)
+		})
+	}
 	for _, f := range s.Faults {
 		select {
 		case <-ctx.Done():
@@ -175,6 +187,8 @@
 
 // addr returns the next unused listen address of the run.
 func (r *run) addr() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.port++
 	return fmt.Sprintf("%s:%d", r.host, r.port)
 }
@@ -218,7 +232,7 @@
 			return err
 		}
 		r.dispatchers = append(r.dispatchers, d)
-		if err := d.configure(settings(r.scenario.Dispatchers, r.scenario.Classes), r.scenario.Sockets); err != nil {
+		if err := d.configure(settings(r.scenario.Dispatchers, r.scenario.Classes), r.scenario.memoryMB(), r.scenario.Sockets); err != nil {
 			return err
 		}
 		if err := d.start(r.dispatcherProgram()); err != nil {
@@ -339,6 +353,9 @@
 	for _, c := range s.Reconfigurations {
 		fmt.Fprintln(&text, c)
 	}
+	for _, b := range s.BadClients {
+		fmt.Fprintln(&text, b)
+	}
 	fmt.Fprintf(&text, "in the end %v, %.3f s apart, crowd %v\n", signalSeries(s.Shutdown.SignalSeries), s.Shutdown.Pause.Seconds(), s.Shutdown.IdleClients)
 	return text.String()
 }
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -20,8 +21,14 @@
 	// Reconfigurations are in order of their start.
 	Reconfigurations []reconfiguration
 	Shutdown         shutdownPlan
+	BadClients       []badClients // in order of their start
+	MemoryMB         int          // memory limit of each dispatcher; 0: usualMemoryMB
 }
 
+const usualMemoryMB = 128
+
+func (s Scenario) memoryMB() int { return cmp.Or(s.MemoryMB, usualMemoryMB) }
+
 // shutdownPlan says how all dispatchers are stopped when Length is over, while clients keep sending
 // requests on their open connections.
 type shutdownPlan struct {
