Give open requests more of the memory, and bodies less

Bodies, decoding and instructions get less, what a connection may keep of data behind its request without a reservation falls from 16 to 4 KB, and Go saves from 1 MB less on.

--- a/internal/front/readahead.go
+++ b/internal/front/readahead.go
@@ -19,8 +19,8 @@
 
 const (
 	readAheadStep = 512
-	freeReadAhead = 16 << 10 // bytes that each connection may keep
-	maxReadAhead  = 1 << 20  // bytes that a connection may keep where the limiter has memory
+	freeReadAhead = 4 << 10 // bytes that each connection may keep
+	maxReadAhead  = 1 << 20 // bytes that a connection may keep where the limiter has memory
 	discardStep   = 16 << 10
 	// Beyond discardBurst bytes, the reading pauses after each step, so that a client that sends at
 	// full speed does not take the processor's time. The burst is more than the network holds of a
--- a/internal/program/limits.go
+++ b/internal/program/limits.go
@@ -28,24 +28,24 @@
 	// gcShare is the share of the memory limit, and gcReserve what is left of it, at which Go
 	// collects garbage more aggressively.
 	gcShare   = 0.7
-	gcReserve = 1 << 20
+	gcReserve = 2 << 20
 
 	// leastBodies is the least memory for bodies: two of the largest.
 	leastBodies = 512 << 10
 
 	// Memory of a client's connection whose request is still arriving, or that is idle after an
 	// answer, and of an open request without its payload: its goroutines, attempts and stream.
-	connBytes    = 20 << 10
-	requestBytes = 48 << 10
+	connBytes    = 16 << 10
+	requestBytes = 40 << 10
 
 	// Shares of the memory that the program leaves at rest. What they leave is for garbage.
-	connMemory     = 0.2  // connections of clients
-	requestMemory  = 0.27 // open requests
-	payloadMemory  = 0.18 // payloads of open requests
-	bodyReadMemory = 0.1  // request bodies that the core does not have yet; half as much again for what is read ahead
-	decodeMemory   = 0.15 // bodies of the chat API that are being decoded
+	connMemory     = 0.22 // connections of clients
+	requestMemory  = 0.33 // open requests
+	payloadMemory  = 0.12 // payloads of open requests
+	bodyReadMemory = 0.06 // request bodies that the core does not have yet; half as much again for what is read ahead
+	decodeMemory   = 0.07 // bodies of the chat API that are being decoded
 	// Instructions of the chat API that are remembered. They are few and small in ordinary service.
-	instructionMemory = 0.05
+	instructionMemory = 0.02
 )
 
 // processLimits are the bounds of one process.
