--- a/internal/front/readahead.go
+++ b/internal/front/readahead.go
@@ -144,8 +144,8 @@
 // and reports whether it has closed it.
 func (c *Conn) awaitClose() bool {
 	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return c.awaitCloseWithoutFD()
+	if !ok { // every connection that a Port accepts is one
+		return false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
@@ -164,22 +164,6 @@
 	}
 }
 
-// awaitCloseWithoutFD is awaitClose for a connection without a descriptor.
-func (c *Conn) awaitCloseWithoutFD() bool {
-	for {
-		space := c.aheadSpace()
-		if space == nil {
-			return false
-		}
-		n, err := c.Conn.Read(space)
-		c.recordRead(n)
-		c.ahead.extend(n)
-		if err != nil {
-			return !isTimeout(err)
-		}
-	}
-}
-
 func isTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
