--- a/cmd/standpulley/memory_test.go
+++ b/cmd/standpulley/memory_test.go
@@ -22,10 +22,11 @@
 	"standpulley/internal/soak"
 )
 
-// The least memory and the most descriptors that the platform gives a dispatcher.
+// The least memory, and the most and fewest descriptors, that the platform gives a dispatcher.
 const (
-	leastMemoryMB   = 32
-	mostDescriptors = 1024
+	leastMemoryMB     = 32
+	mostDescriptors   = 1024
+	fewestDescriptors = 256
 )
 
 // deployedBinary builds the program as deploy/balancer.toml does, once for all tests. It has no race
@@ -208,7 +209,6 @@
 // TestCrowdsStayInMemory guards against a process that passes its memory limit and is killed, as
 // hundreds of clients at once stop half way, write or read slowly, or wait for their answers.
 func TestCrowdsStayInMemory(t *testing.T) {
-	const crowd, crowdStays = 440, 4 * time.Second
 	manyFields := strings.Repeat("a:\r\n", 1900)
 	small := func(n int) string { return platformRequest(n, "enquiry", "", 2) }
 	large := func(n int) string { return platformRequest(n, "enquiry", "", largestBody) }
@@ -241,36 +241,49 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			list, _ := startReplicas(t, x.read, x.write)
-			p := startLimited(t, leastMemoryMB, mostDescriptors, list...)
-			addr := p.file.Listen
-			if x.chat {
-				addr = p.file.Chat.Listen
-			}
-			var clients sync.WaitGroup
-			for n := range crowd {
-				clients.Go(func() {
-					c, err := net.Dial("tcp", addr)
-					if err != nil {
-						return
+			for _, descriptors := range []int{mostDescriptors, fewestDescriptors} {
+				t.Run(fmt.Sprint(descriptors, " descriptors"), func(t *testing.T) {
+					t.Parallel()
+					p := startLimited(t, leastMemoryMB, descriptors, list...)
+					addr := p.file.Listen
+					if x.chat {
+						addr = p.file.Chat.Listen
 					}
-					defer c.Close()
-					_ = c.SetDeadline(time.Now().Add(crowdStays))
-					x.client(c, n)
+					p.withstand(t, addr, x.client)
 				})
 			}
-			time.Sleep(100 * time.Millisecond)
-			served, refused := askBeside(t, p, 10)
-			clients.Wait()
-			t.Logf("usual clients beside the crowd: %d served, %d refused", served, refused)
-			p.checkLimits(t)
-			waitFor(t, "a usual client to be served", func() bool {
-				served, _ := askBeside(t, p, 1)
-				return served > 0
-			})
 		})
 	}
 }
 
+// withstand has a crowd of clients use an address, beside some usual ones, and checks that the
+// process keeps its limits and serves afterwards.
+func (p *limitedProgram) withstand(t *testing.T, addr string, client func(c net.Conn, n int)) {
+	t.Helper()
+	const crowd, crowdStays = 440, 4 * time.Second
+	var clients sync.WaitGroup
+	for n := range crowd {
+		clients.Go(func() {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_ = c.SetDeadline(time.Now().Add(crowdStays))
+			client(c, n)
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	served, refused := askBeside(t, p, 10)
+	clients.Wait()
+	t.Logf("usual clients beside the crowd: %d served, %d refused", served, refused)
+	p.checkLimits(t)
+	waitFor(t, "a usual client to be served", func() bool {
+		served, _ := askBeside(t, p, 1)
+		return served > 0
+	})
+}
+
 // lastAsked is the number of the last request of askBeside. Requests of crowds have lower ones.
 var lastAsked = func() *atomic.Int64 { n := new(atomic.Int64); n.Store(1 << 40); return n }()
 
