Scan what clients send for lines once, and drop a constant that nothing uses

Behaviour is as before.

Each read of a client's data looked for the end of 100 lines, and then counted the lines again; data that was read ahead was looked through a third time. One function does both now. What is put back is always put before nothing, so it is no prepending. The access to a connection's descriptor stood three times. In the replica package a constant was left of a form that was dropped, and each event of a stream set the same callback again.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -77,13 +77,18 @@
 	if c.head.areTooMany() {
 		return 0, errTooManyFields
 	}
-	n, err := c.readUnlimited(p)
-	if end := endOfLines(p[:n], maxHeaderFields); end < n {
-		c.ahead.prepend(p[end:n])
-		n = end
+	if c.ahead.hasData() {
+		n, lines := c.takeAhead(p)
+		c.head.count += lines
+		return n, nil
 	}
-	c.head.count += bytes.Count(p[:n], []byte("\n"))
-	return n, err
+	n, err := c.readNetwork(p)
+	end, lines := cutLines(p[:n])
+	c.head.count += lines
+	if end < n {
+		c.ahead.put(p[end:n])
+	}
+	return end, err
 }
 
 // headLines counts the lines that the server has read of a request whose header is not complete. A
@@ -95,24 +100,21 @@
 
 func (h *headLines) areTooMany() bool { return h.expected && h.count > maxHeaderFields }
 
-// endOfLines returns where the line with the given number ends in text, or the length of text if it
-// has fewer lines.
-func endOfLines(text []byte, lines int) int {
-	end := 0
-	for range lines {
+// cutLines returns how much of a text the server may get at once, and how many lines that are.
+func cutLines(text []byte) (end, lines int) {
+	for lines < maxHeaderFields {
 		length := bytes.IndexByte(text[end:], '\n') + 1
 		if length == 0 {
-			return len(text)
+			return len(text), lines
 		}
 		end += length
+		lines++
 	}
-	return end
+	return end, lines
 }
 
-func (c *Conn) readUnlimited(p []byte) (int, error) {
-	if c.ahead.hasData() {
-		return c.takeAhead(p), nil
-	}
+// readNetwork reads from the connection, of which nothing is left that was read ahead.
+func (c *Conn) readNetwork(p []byte) (int, error) {
 	if c.ahead.isOverrun() {
 		return 0, c.endOverrun()
 	}
@@ -129,16 +131,15 @@
 // read and requestBegun is set in one step, under the limiter's lock. If the idle timeout expires
 // just as a request arrives, the request is read.
 func (c *Conn) readFirst(p []byte) (n int, err error) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	raw, err := c.descriptor()
+	switch {
+	case err != nil:
+		return 0, err
+	case raw == nil:
 		n, err = c.Conn.Read(p)
 		c.recordRead(n)
 		return n, err
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
 	for {
 		waitErr := raw.Read(func(fd uintptr) (ready bool) { return readable(int(fd)) })
 		if waitErr != nil && !errors.Is(waitErr, os.ErrDeadlineExceeded) {
@@ -155,6 +156,15 @@
 	}
 }
 
+// descriptor returns access to the connection's descriptor, or nil if it has none. Each connection
+// that a Port accepts has one.
+func (c *Conn) descriptor() (syscall.RawConn, error) {
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		return sc.SyscallConn()
+	}
+	return nil, nil
+}
+
 // readable reports whether a read would return without blocking.
 func readable(fd int) bool {
 	var b [1]byte
@@ -198,13 +208,9 @@
 // inspectFD calls check with the connection's descriptor, without blocking. It reports whether the
 // result, or the state of the descriptor itself, shows that the client has closed the connection.
 func (c *Conn) inspectFD(check func(fd int) bool) (closed bool) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
+	raw, err := c.descriptor()
+	if err != nil || raw == nil {
+		return err != nil
 	}
 	_ = raw.Control(func(fd uintptr) { closed = check(int(fd)) })
 	return closed
--- a/internal/front/readahead.go
+++ b/internal/front/readahead.go
@@ -6,7 +6,6 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -61,32 +60,32 @@
 	a.data = a.data[:len(a.data)+bytes]
 }
 
-// prepend puts text before data.
-func (a *readAhead) prepend(text []byte) {
+// put keeps a copy of text for the next read. There must be no data.
+func (a *readAhead) put(text []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.data = slices.Concat(text, a.data)
+	a.data = slices.Clone(text)
 }
 
-// take moves data to p, no more lines than the server may parse at once.
-func (a *readAhead) take(p []byte) int {
+// take moves data to p, no more lines than the server may get at once.
+func (a *readAhead) take(p []byte) (n, lines int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := min(len(p), len(a.data))
-	n = copy(p, a.data[:endOfLines(a.data[:n], maxHeaderFields)])
+	n, lines = cutLines(a.data[:min(len(p), len(a.data))])
+	copy(p, a.data[:n])
 	if a.data = a.data[n:]; len(a.data) == 0 {
 		a.data = nil
 	}
-	return n
+	return n, lines
 }
 
 // takeAhead returns data that was read ahead.
-func (c *Conn) takeAhead(p []byte) int {
-	n := c.ahead.take(p)
+func (c *Conn) takeAhead(p []byte) (n, lines int) {
+	n, lines = c.ahead.take(p)
 	if !c.ahead.hasData() {
 		c.limiter.reserveAhead(c, 0)
 	}
-	return n
+	return n, lines
 }
 
 // aheadSpace returns free space behind the data that was read ahead, or nil if no more may be kept.
@@ -143,13 +142,9 @@
 // awaitClose reads from the connection until the client has closed it, or until the read deadline,
 // and reports whether it has closed it.
 func (c *Conn) awaitClose() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok { // every connection that a Port accepts is one
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
+	raw, err := c.descriptor()
+	if err != nil || raw == nil {
+		return err != nil
 	}
 	for {
 		if err := raw.Read(func(fd uintptr) bool { return readable(int(fd)) }); err != nil {
--- a/internal/replica/answer.go
+++ b/internal/replica/answer.go
@@ -21,10 +21,8 @@
 const (
 	// A replica sends a head at once, and a first event soon behind it. Those that are silent for so
 	// long in the middle of either never go on.
-	headSilence  = 400 * time.Millisecond
-	eventSilence = time.Second
-	// pieceWait is how long a part of a chunk is held for the rest of it.
-	pieceWait       = 150 * time.Millisecond
+	headSilence     = 400 * time.Millisecond
+	eventSilence    = time.Second
 	maxInterim      = 100       // interim (1xx) answers before the final one
 	maxChunk        = 256 << 10 // bytes, the limit of any body
 	maxLine         = 1 << 10   // bytes of a chunk size line or a trailer field
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -31,7 +31,7 @@
 
 	maxAnswer       = 64 << 10 // bytes of a body that is not a stream
 	streamBuffer    = 4 << 10  // bytes that are passed on at once
-	maxStreamBuffer = 16 << 10 // the same for a first event that is longer
+	maxStreamBuffer = 16 << 10 // the same for a longer chunk, or a longer first event
 )
 
 // Request is a request for replicas. Its method, path, query, body and ID are sent unchanged.
@@ -317,7 +317,8 @@
 
 var errStalled = errors.New("no event for too long")
 
-// allowPause lets the next read from the network wait for data for StallTimeout.
+// allowPause lets the next read from the network wait for data for StallTimeout. It holds from the
+// first event on, which is passed on before anything else is read.
 func (s *stream) allowPause() {
 	_ = s.a.c.SetReadDeadline(time.Now().Add(s.a.req.Pool.StallTimeout)) // an error recurs in the read
 }
@@ -329,9 +330,9 @@
 		n := s.pending
 		s.pending = 0
 		s.a.liftDeadline()
+		s.a.c.beforeRead = s.allowPause
 		return s.buf[:n], nil
 	}
-	s.a.c.beforeRead = s.allowPause
 	if s.err == nil {
 		s.err = s.makeRoom()
 	}
