--- a/internal/program/apply_test.go
+++ b/internal/program/apply_test.go
@@ -8,9 +8,6 @@
 	"time"
 
 	"standpulley/internal/config"
-	"standpulley/internal/front"
-	"standpulley/internal/front/chat"
-	"standpulley/internal/replica"
 )
 
 // testSite is a configuration that tests change step by step.
@@ -50,7 +47,7 @@
 // core's, and one core serves under every configuration. A configuration whose address can't be
 // opened changes nothing.
 func TestCoreOutlivesConfigurations(t *testing.T) {
-	p := &program{decoding: &chat.DecodeBudget{}, instructions: chat.NewInstructions(), pool: replica.NewPool(0, 0, 0), limiter: front.NewConnLimiter(0, 0), draining: make(chan struct{})}
+	p := newProgram()
 	site := testSite{listen: freeAddr(t), chat: freeAddr(t), models: `"ask":"enquiry"`, deadlineUS: 1000000, class: "instruction"}
 	if err := p.apply(site.parse(t)); err != nil {
 		t.Fatal(err)
--- a/internal/program/limits.go
+++ b/internal/program/limits.go
@@ -100,5 +100,4 @@
 	p.pool.SetLimits(limits.replicaConns, cfg.Settings.ConnIdle, cfg.Settings.ConnectTimeout)
 	runtime.GOMAXPROCS(max(int(cfg.Limits.Cores+0.5), 1))
 	debug.SetMemoryLimit(limits.gcLimit)
-	p.gcLimit.Store(limits.gcLimit)
 }
--- a/internal/program/memory.go
+++ b/internal/program/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log"
+	"runtime/debug"
 	"runtime/metrics"
 	"time"
 )
@@ -13,6 +14,8 @@
 	// memoryLogShare is the share of the limit on Go's memory from which on the log tells what takes
 	// it. A process that passes its memory limit is killed and can't tell any more.
 	memoryLogShare = 0.8
+	// readOnly makes debug.SetMemoryLimit return the limit and leave it as it is.
+	readOnly = -1
 )
 
 // memoryUse is what the parts of the process that clients can fill take at present.
@@ -27,7 +30,7 @@
 
 func (p *program) memoryUse() memoryUse {
 	clients := p.limiter.Use()
-	m := memoryUse{goBytes: goMemory(), limitBytes: int(p.gcLimit.Load()), connections: clients.Connections,
+	m := memoryUse{goBytes: goMemory(), limitBytes: int(debug.SetMemoryLimit(readOnly)), connections: clients.Connections,
 		bodyBytes: clients.BodyBytes, aheadBytes: clients.AheadBytes}
 	if s := p.live.Load(); s != nil {
 		m.payloadBytes = s.core.PayloadBytes()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -53,7 +53,6 @@
 	counts        dispatch.Counts
 	applied       atomic.Int64 // configurations applied on SIGHUP
 	rejected      atomic.Int64 // configurations rejected on SIGHUP
-	gcLimit       atomic.Int64 // bytes; limit on Go's memory
 	operatorDrain atomic.Bool  // an operator has drained the program
 	// Another process may listen on the client address, so that a new version can take over.
 	shared    bool
@@ -63,6 +62,13 @@
 	lease     dispatch.Lease
 }
 
+// newProgram returns a program that serves nothing yet. Its limits are set with the first
+// configuration.
+func newProgram() *program {
+	return &program{ports: map[string]*front.Port{}, pool: replica.NewPool(0, 0, 0), limiter: front.NewConnLimiter(0, 0),
+		decoding: &chat.DecodeBudget{}, instructions: chat.NewInstructions(), draining: make(chan struct{})}
+}
+
 // reload reads the configuration again and applies it. A faulty configuration changes nothing.
 func (p *program) reload(load func() (config.Config, error)) {
 	cfg, err := load()
@@ -127,8 +133,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	p := &program{ports: map[string]*front.Port{}, decoding: &chat.DecodeBudget{}, instructions: chat.NewInstructions(), pool: replica.NewPool(0, 0, 0), limiter: front.NewConnLimiter(0, 0),
-		draining: make(chan struct{})}
+	p := newProgram()
 	p.limiter.OnClose = func(cause dispatch.Cause, client string) { p.counts.Count(dispatch.ClientClosed, cause, client) }
 	go p.pool.Sweep(ctx)
 	if m == nil {
--- a/internal/soak/badclients.go
+++ b/internal/soak/badclients.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -178,69 +177,3 @@
 
 // RepeatedID is the id of an instruction that was sent again after its client had left.
 type RepeatedID struct{ ID, Dispatcher string }
-
-// checkRepeatedIDs checks that no instruction ran twice under its id. A dispatcher that was killed
-// has forgotten what it knew.
-func (j *judge) checkRepeatedIDs() {
-	for _, repeated := range j.RepeatedIDs {
-		ran := 0
-		for _, n := range j.byRequest[repeated.ID] {
-			if n.Kind == StreamStarted {
-				ran++
-			}
-		}
-		if ran > 1 && len(j.Processes[repeated.Dispatcher]) == 1 {
-			j.addFinding(RuleDuplicate, "%s at %s ran %d times, as it came again after its client had left", repeated.ID, repeated.Dispatcher, ran)
-		}
-	}
-}
-
-// checkMemory checks that no process has passed its memory limit. A build with the race detector
-// takes many times as much.
-func (j *judge) checkMemory() {
-	if !j.MemoryIsLimited {
-		return
-	}
-	for name, processes := range j.Processes {
-		for i, p := range processes {
-			if limit := j.Scenario.memoryMB() << 20; p.PeakMemory > limit {
-				j.addFinding(RuleCrash, "%s, process %d, had %d KB resident, limit %d", name, i, p.PeakMemory>>10, limit>>10)
-			}
-		}
-	}
-}
-
-const memoryCheckInterval = 100 * time.Millisecond
-
-// watchMemory records the most memory that a process has had resident until it exits.
-func (d *dispatcher) watchMemory(pid int, process *Process) {
-	for {
-		peak := PeakMemory(pid)
-		d.mu.Lock()
-		process.PeakMemory = max(process.PeakMemory, peak)
-		ended := !process.Exited.IsZero()
-		d.mu.Unlock()
-		if ended {
-			return
-		}
-		time.Sleep(memoryCheckInterval)
-	}
-}
-
-// PeakMemory returns the most memory in bytes that a process has had resident, or 0 if it has ended.
-func PeakMemory(pid int) int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	_, line, _ := strings.Cut(string(status), "VmHWM:")
-	fields := strings.Fields(line)
-	if len(fields) == 0 {
-		return 0
-	}
-	kb, err := strconv.Atoi(fields[0])
-	if err != nil {
-		return 0
-	}
-	return kb << 10
-}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -297,15 +297,7 @@
 	if a.Class != "instruction" {
 		return
 	}
-	ran, attempts := 0, 0
-	for _, n := range j.byRequest[a.ID] {
-		if n.Kind == StreamStarted {
-			ran++
-		}
-		if n.Kind == Received && n.Replica[0] == 'w' {
-			attempts++
-		}
-	}
+	ran := j.timesRun(a.ID)
 	if ran > 1 {
 		j.addFinding(RuleDuplicate, "%s ran %d times", a.ID, ran)
 	}
@@ -314,6 +306,26 @@
 	}
 }
 
+// timesRun returns how often a request ran at writers.
+func (j *judge) timesRun(id string) (ran int) {
+	for _, n := range j.byRequest[id] {
+		if n.Kind == StreamStarted {
+			ran++
+		}
+	}
+	return ran
+}
+
+// checkRepeatedIDs checks that no instruction ran twice under its id. A dispatcher that was killed
+// has forgotten what it knew.
+func (j *judge) checkRepeatedIDs() {
+	for _, repeated := range j.RepeatedIDs {
+		if ran := j.timesRun(repeated.ID); ran > 1 && len(j.Processes[repeated.Dispatcher]) == 1 {
+			j.addFinding(RuleDuplicate, "%s at %s ran %d times, as it came again after its client had left", repeated.ID, repeated.Dispatcher, ran)
+		}
+	}
+}
+
 // checkDrains checks that no attempt was sent to a replica once its drain had to be known.
 func (j *judge) checkDrains() {
 	for _, d := range j.Drains {
--- a/internal/soak/trace.go
+++ b/internal/soak/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"regexp"
 	"slices"
 	"strings"
@@ -24,7 +25,7 @@
 	}
 	fmt.Fprintf(&out, "second 0 is %s\n", rec.Started.Format("15:04:05.000000"))
 	ids := requestID.FindAllString(f.Text, -1)
-	for _, name := range sortedNames(rec.Processes) {
+	for _, name := range slices.Sorted(maps.Keys(rec.Processes)) {
 		for i, p := range rec.Processes[name] {
 			fmt.Fprintf(&out, "%s, process %d: started %s, ready %s, SIGTERM %s, SIGKILL %s, exited %s\n", name, i,
 				since(p.Started), since(p.Ready), since(p.TermSent), since(p.KillSent), since(p.Exited))
@@ -38,14 +39,6 @@
 	return out.String()
 }
 
-func sortedNames(processes map[string][]*Process) (names []string) {
-	for name := range processes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 func namesAny(line string, ids []string) bool {
 	return slices.ContainsFunc(ids, func(id string) bool { return strings.Contains(line, id) })
 }
