--- a/cmd/standpulley/configurations_test.go
+++ b/cmd/standpulley/configurations_test.go
@@ -51,6 +51,18 @@
 	return f
 }
 
+// write writes the file to a path.
+func (f *siteFile) write(t *testing.T, path string) {
+	t.Helper()
+	text, err := jsoniter.Marshal(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // addClass adds a class and, in the chat object, a model for it.
 func (f *siteFile) addClass(name string) {
 	f.Settings["services"] = append(f.Settings["services"].([]any),
@@ -74,16 +86,6 @@
 func startSite(t *testing.T, way string, file *siteFile) *site {
 	t.Helper()
 	path, state := filepath.Join(t.TempDir(), "config.json"), filepath.Join(t.TempDir(), "state")
-	write := func(t *testing.T) {
-		t.Helper()
-		text, err := jsoniter.Marshal(file)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, text, 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
 	apply := func(t *testing.T) {
 		t.Helper()
 		var out bytes.Buffer
@@ -92,7 +94,7 @@
 		}
 	}
 	env, args := []string{"EDGE_CONFIG=" + path}, []string(nil)
-	write(t)
+	file.write(t, path)
 	if way == "apply" {
 		apply(t)
 		env, args = nil, []string{"run", "-state", state}
@@ -102,7 +104,7 @@
 	s.signal = func(t *testing.T, sig syscall.Signal) { t.Helper(); sendSignal(t, cmd, sig) }
 	s.reload = func(t *testing.T) {
 		t.Helper()
-		write(t)
+		file.write(t, path)
 		if way == "apply" {
 			apply(t)
 			return
--- a/cmd/standpulley/flood_test.go
+++ b/cmd/standpulley/flood_test.go
@@ -92,7 +92,7 @@
 	}
 	turnAway := func(status int, neverRan bool) func(x *fake.Exchange) {
 		return func(x *fake.Exchange) {
-			if strings.HasPrefix(x.ID, "c") && len(x.Req.Header.Peek("X-Customer")) > 0 {
+			if len(x.Req.Header.Peek("X-Customer")) > 0 { // only the flood's requests name one
 				x.Status(status, neverRan, "")
 				return
 			}
--- a/cmd/standpulley/identity_test.go
+++ b/cmd/standpulley/identity_test.go
@@ -39,16 +39,6 @@
 	time.Sleep(200 * time.Millisecond) // the close is noticed and the attempt has ended
 }
 
-func dial(t *testing.T, addr string) net.Conn {
-	t.Helper()
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = c.Close() }) // it may be closed already
-	return c
-}
-
 // TestIDRunsOnceAfterItsClientHasLeft guards against an instruction that runs twice, as its id comes
 // again after its client has left. One that is safe to repeat is served again.
 func TestIDRunsOnceAfterItsClientHasLeft(t *testing.T) {
@@ -126,8 +116,10 @@
 	if status, answer, err := readResponse(t, sendText(t, next.file.Listen, platformRequest(3, "instruction", "", 2))); err != nil || status != 200 {
 		t.Errorf("another instruction at the new process: %d %q %v", status, answer, err)
 	}
-	if !strings.Contains(fmt.Sprint(old.env), "TMPDIR=") {
-		t.Error("the two processes do not share a folder")
+	for _, p := range []*limitedProgram{old, next} {
+		if strings.Contains(p.out.String(), "ids are not shared") {
+			t.Errorf("the two processes do not share a table: %s", p.out)
+		}
 	}
 }
 
--- a/cmd/standpulley/main_test.go
+++ b/cmd/standpulley/main_test.go
@@ -34,7 +34,9 @@
 		}
 		return
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	_ = os.RemoveAll(buildFolder) // left in the folder for temporary files, it does no harm
+	os.Exit(code)
 }
 
 // outputBuffer collects what a program writes.
@@ -58,8 +60,14 @@
 // startProgram runs the program with an environment and arguments.
 func startProgram(t *testing.T, env []string, args ...string) (*exec.Cmd, *outputBuffer) {
 	t.Helper()
-	cmd := exec.Command(os.Args[0], args...)
-	cmd.Env = append(os.Environ(), append(env, "STANDPULLEY_AS_PROGRAM=1")...)
+	return startBinary(t, os.Args[0], append(env, "STANDPULLEY_AS_PROGRAM=1"), args...)
+}
+
+// startBinary runs a build of the program with an environment and arguments.
+func startBinary(t *testing.T, binary string, env []string, args ...string) (*exec.Cmd, *outputBuffer) {
+	t.Helper()
+	cmd := exec.Command(binary, args...)
+	cmd.Env = append(os.Environ(), env...)
 	out := &outputBuffer{}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
@@ -133,14 +141,20 @@
 
 func sendText(t *testing.T, addr, text string) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
+	c := dial(t, addr)
+	if _, err := io.WriteString(c, text); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = c.Close() })
-	if _, err := io.WriteString(c, text); err != nil {
+	return c
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = c.Close() }) // it may be closed already
 	return c
 }
 
--- a/cmd/standpulley/memory_test.go
+++ b/cmd/standpulley/memory_test.go
@@ -16,8 +16,6 @@
 	"testing"
 	"time"
 
-	jsoniter "github.com/json-iterator/go"
-
 	"standpulley/internal/fake"
 	"standpulley/internal/soak"
 )
@@ -29,14 +27,16 @@
 	fewestDescriptors = 256
 )
 
+// buildFolder holds what deployedBinary has built until all tests have ended.
+var buildFolder string
+
 // deployedBinary builds the program as deploy/balancer.toml does, once for all tests. It has no race
 // detector, which multiplies memory.
-var deployedBinary = sync.OnceValues(func() (string, error) {
-	folder, err := os.MkdirTemp("", "standpulley-")
-	if err != nil {
+var deployedBinary = sync.OnceValues(func() (binary string, err error) {
+	if buildFolder, err = os.MkdirTemp("", "standpulley-"); err != nil {
 		return "", err
 	}
-	binary := filepath.Join(folder, "standpulley")
+	binary = filepath.Join(buildFolder, "standpulley")
 	out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", binary, ".").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w\n%s", err, out)
@@ -59,13 +59,7 @@
 	file := newSiteFile(t, startAgent(t, list...).Addr)
 	file.Limits = &limitsSection{MemoryMB: memoryMB, Sockets: sockets}
 	path := filepath.Join(t.TempDir(), "config.json")
-	text, err := jsoniter.Marshal(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	file.write(t, path)
 	return startDeployed(t, file, []string{"EDGE_CONFIG=" + path, "TMPDIR=" + t.TempDir()})
 }
 
@@ -76,12 +70,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &limitedProgram{file: file, env: env, cmd: exec.Command(binary), out: &outputBuffer{}, exited: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), env...)
-	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
-	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
+	p := &limitedProgram{file: file, env: env, exited: make(chan struct{})}
+	p.cmd, p.out = startBinary(t, binary, env)
 	go func() {
 		defer close(p.exited)
 		_ = p.cmd.Wait() // tests look at the log
