--- a/cmd/standpulley/memory_test.go
+++ b/cmd/standpulley/memory_test.go
@@ -93,6 +93,9 @@
 	default:
 	}
 	peak := soak.PeakMemory(p.cmd.Process.Pid)
+	if peak == 0 {
+		t.Fatal("the memory of the process can't be read")
+	}
 	t.Logf("peak %d KB", peak>>10)
 	if limit := p.file.Limits.MemoryMB << 20; peak >= limit {
 		t.Errorf("%d KB resident, limit %d KB", peak>>10, limit>>10)
