--- /dev/null
+++ b/internal/replica/stream.go
@@ -0,0 +1,135 @@
+package replica
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"standpulley/internal/dispatch"
+	"standpulley/logic"
+)
+
+const (
+	streamBuffer    = 4 << 10  // bytes that are passed on at once
+	maxStreamBuffer = 16 << 10 // the same for a longer chunk, or a longer first event
+)
+
+// stream is an answer whose first event has been received.
+type stream struct {
+	a       *attempt
+	body    io.Reader
+	buf     []byte
+	pending int // bytes of buf that are read but not returned yet
+	err     error
+
+	mu    sync.Mutex
+	ended bool
+}
+
+// open reads the answer up to the end of its first event, which may arrive in several reads.
+// Nothing is passed on before that: an answer that breaks off earlier counts as no answer.
+func (s *stream) open() error {
+	if _, err := s.a.c.br.Peek(1); err != nil {
+		return err
+	}
+	s.a.allowSilence(eventSilence)
+	for !hasEvent(s.buf[:s.pending]) {
+		if err := s.makeRoom(); err != nil {
+			return err
+		}
+		if s.pending == len(s.buf) {
+			return nil
+		}
+		n, err := s.body.Read(s.buf[s.pending:])
+		s.pending += n
+		if err == io.EOF && s.pending > 0 { // the complete answer
+			s.err = err
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// makeRoom makes the buffer large enough for the next chunk, up to maxStreamBuffer: a chunk that fits
+// is passed on only once it is verified.
+func (s *stream) makeRoom() error {
+	need := s.pending + streamBuffer
+	if body, ok := s.body.(*chunkedBody); ok {
+		left, err := body.begin()
+		if err != nil {
+			return err
+		}
+		need = s.pending + left
+	}
+	if size := min(need, maxStreamBuffer); size > len(s.buf) {
+		s.buf = append(s.buf, make([]byte, size-len(s.buf))...)
+	}
+	return nil
+}
+
+var errStalled = errors.New("no event for too long")
+
+// allowPause lets the next read from the network wait for data for StallTimeout. It holds from the
+// first event on, which is passed on before anything else is read.
+func (s *stream) allowPause() {
+	_ = s.a.c.SetReadDeadline(time.Now().Add(s.a.req.Pool.StallTimeout)) // an error recurs in the read
+}
+
+// Next returns the next bytes as they arrive. A stream has no deadline: it is cut only if no data
+// arrives for StallTimeout.
+func (s *stream) Next() ([]byte, error) {
+	if s.pending > 0 {
+		n := s.pending
+		s.pending = 0
+		s.a.liftDeadline()
+		s.a.c.beforeRead = s.allowPause
+		return s.buf[:n], nil
+	}
+	if s.err == nil {
+		s.err = s.makeRoom()
+	}
+	if s.err == nil {
+		var n int
+		n, s.err = s.body.Read(s.buf)
+		if n > 0 {
+			return s.buf[:n], nil
+		}
+	}
+	if s.err == io.EOF {
+		s.end(dispatch.Result{Outcome: logic.Delivered}, true)
+		return nil, io.EOF
+	}
+	err := s.err
+	if isTimeout(err) {
+		err = errStalled
+	}
+	s.end(dispatch.Result{Outcome: logic.ConnectionLost, Detail: err.Error()}, false)
+	return nil, err
+}
+
+// Close aborts a stream that has not been read to its end.
+func (s *stream) Close() {
+	s.end(dispatch.Result{Outcome: logic.Cancelled, Detail: "stream closed"}, false)
+}
+
+// end reports the result of the attempt once, and reuses the connection if the answer is complete.
+func (s *stream) end(res dispatch.Result, complete bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
+	s.ended = true
+	if complete && !s.a.resp.ConnectionClose() {
+		s.a.stopInterrupt()
+		s.a.req.Pool.put(s.a.c)
+	} else {
+		s.a.dropConn()
+	}
+	s.a.cancel()
+	s.a.observer.Ended(res)
+}
