Say of each stream when it began and why it broke off

Callers whose stream broke off left no trace of where it had stopped: the log said 'no event for too long' or an error of the framing, and no figure told one from the other.

Change: a line for the first event of each stream; edge.broken.CAUSE (framing_invalid, connection_lost, framing_stalled, event_stalled, no_event); the line of a broken stream has the bytes of events so far and how long ago the last event, and the last byte of one, came. No limit changes.

TestBrokenStreamNamesItsCause holds it: seven ways to break off, each under its name.

--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -13,6 +13,7 @@
 	AttemptCancelled Event = "cancelled" // this program gave an attempt up
 	StateReleased    Event = "released"  // replicas were asked to release what they hold
 	ClientClosed     Event = "closed"    // this program closed a client's connection
+	StreamBroken     Event = "broken"    // a stream ended before its end, and with it the client's connection
 	RuleViolated     Event = "violated"  // an invariant did not hold at run time
 )
 
@@ -37,6 +38,15 @@
 	RequestEnded  Cause = "request_ended"  // the decision module ended the request
 )
 
+// Causes of StreamBroken. The replica has stopped in the last three.
+const (
+	FramingInvalid   Cause = "framing_invalid" // a chunk or line that is against the framing, or states too large a size
+	ConnectionBroken Cause = "connection_lost" // the replica's connection ended or broke
+	FramingStalled   Cause = "framing_stalled" // within a line of the framing
+	EventStalled     Cause = "event_stalled"   // within an event
+	NoEvent          Cause = "no_event"        // between two events
+)
+
 // count counts an event. It may be called from any goroutine.
 func (c *Counts) count(event Event, cause Cause) {
 	c.mu.Lock()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -86,6 +86,7 @@
 	NoState    bool
 	NoLease    bool   // with NotSent: the dispatcher had no lease that allows sending
 	ClientGone bool   // with NotSent: the client had closed its connection
+	Broken     Cause  // why a stream broke off; empty for any other result
 	Detail     string // for operators, not parsed
 }
 
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -54,6 +54,9 @@
 	} else if at.stream != nil {
 		d.Counts.countResult(r.spec.Class, Failed)
 	}
+	if res.Broken != "" {
+		d.Counts.Count(StreamBroken, res.Broken, fmt.Sprintf("%s attempt %d at %s", r.id, at.number, at.server))
+	}
 	if at.endIntent != nil {
 		at.endIntent(out)
 	}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"log"
 	"slices"
 	"time"
 
@@ -72,6 +73,7 @@
 		return
 	}
 	at.stream, at.beganAt = b.stream, d.clock()
+	log.Printf("%s attempt %d stream began after %s", r.id, at.number, elapsedSince(at.sentAt))
 	d.markFetched(r)
 	d.trackAbandonedReads(r)
 	d.route(logic.Event{Kind: logic.StreamStarted, RequestID: r.id, Server: at.server, Attempt: at.number,
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -116,12 +116,11 @@
 	if received, err := a.readHead(); err != nil {
 		return a.brokenAnswer(received, err), nil
 	}
-	body := bodyReader(&a.resp.Header, c.br)
 	if a.resp.StatusCode() != fasthttp.StatusOK {
-		return a.readAnswer(body), nil
+		return a.readAnswer(), nil
 	}
 	a.awaitUntilDeadline()
-	s := &stream{a: a, body: body, buf: make([]byte, streamBuffer)}
+	s := newStream(a)
 	if err = s.open(); err != nil {
 		return a.brokenAnswer(true, err), nil
 	}
@@ -216,7 +215,7 @@
 }
 
 // readAnswer reads an answer that is not a stream and returns the connection to the pool.
-func (a *attempt) readAnswer(body io.Reader) dispatch.Result {
+func (a *attempt) readAnswer() dispatch.Result {
 	status := a.resp.StatusCode()
 	res := dispatch.Result{Outcome: logic.ServerError, Detail: strconv.Itoa(status)}
 	neverRan := string(a.resp.Header.Peek(headerNeverRan)) == "1"
@@ -228,6 +227,7 @@
 	case (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusGatewayTimeout) && neverRan:
 		res.Outcome = logic.Full
 	}
+	body := bodyReader(&a.resp.Header, a.c.br, func([]byte) {})
 	text, err := io.ReadAll(io.LimitReader(body, maxAnswer))
 	if res.Outcome == logic.ReadDone && err == nil {
 		var read struct {
--- a/internal/replica/body.go
+++ b/internal/replica/body.go
@@ -29,15 +29,15 @@
 )
 
 // bodyReader returns a reader of the answer's body that returns io.EOF only if the body is
-// complete.
-func bodyReader(h *fasthttp.ResponseHeader, br *bufio.Reader) io.Reader {
+// complete. It passes each piece of the content to observe as it is read.
+func bodyReader(h *fasthttp.ResponseHeader, br *bufio.Reader, observe func([]byte)) io.Reader {
 	switch n := h.ContentLength(); {
 	case h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified:
 		return bytes.NewReader(nil)
 	case n >= 0:
-		return &sizedBody{br, n}
+		return &sizedBody{br, n, observe}
 	case n == -1:
-		return &chunkedBody{br: br}
+		return &chunkedBody{br: br, observe: observe}
 	}
 	return unframedBody{}
 }
@@ -50,8 +50,9 @@
 
 // sizedBody reads a body of known length, of which left bytes remain.
 type sizedBody struct {
-	br   *bufio.Reader
-	left int
+	br      *bufio.Reader
+	left    int
+	observe func([]byte)
 }
 
 func (s *sizedBody) Read(p []byte) (int, error) {
@@ -59,6 +60,7 @@
 		return 0, io.EOF
 	}
 	n, err := s.br.Read(p[:min(len(p), s.left)])
+	s.observe(p[:n])
 	s.left -= n
 	return n, noEOF(err)
 }
@@ -76,6 +78,8 @@
 // whole or not at all.
 type chunkedBody struct {
 	br      *bufio.Reader
+	observe func([]byte)
+	inLine  bool // a line of the framing has begun and has not ended
 	inChunk bool // the size of the current chunk is known
 	left    int  // bytes of the current chunk
 }
@@ -98,7 +102,7 @@
 	} else if left == 0 {
 		return 0, c.readTrailer()
 	}
-	n, err := io.ReadFull(c.br, p[:min(len(p), c.left)])
+	n, err := c.readData(p[:min(len(p), c.left)])
 	if err != nil {
 		return 0, noEOF(err)
 	}
@@ -116,6 +120,17 @@
 	return n, nil
 }
 
+// readData fills p with data of the current chunk.
+func (c *chunkedBody) readData(p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var count int
+		count, err = c.br.Read(p[n:])
+		c.observe(p[n : n+count])
+		n += count
+	}
+	return n, err
+}
+
 // readLine returns the text up to the next CR LF, which ends every line of the framing.
 func (c *chunkedBody) readLine() (string, error) {
 	var line []byte
@@ -124,9 +139,11 @@
 		if err != nil {
 			return "", noEOF(err)
 		}
+		c.inLine = true
 		if line = append(line, b); b != '\n' {
 			continue
 		}
+		c.inLine = false
 		if text, ok := strings.CutSuffix(string(line), "\r\n"); ok {
 			return text, nil
 		}
--- /dev/null
+++ b/internal/replica/broken_test.go
@@ -0,0 +1,61 @@
+package replica
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"standpulley/internal/dispatch"
+	"standpulley/internal/fake"
+)
+
+// breakStream reads a stream that breaks off and returns the result of its attempt.
+func breakStream(t *testing.T, pool *Pool, act func(*fake.Exchange)) dispatch.Result {
+	t.Helper()
+	rep, _ := send(pool, startReplica(t, act).Addr, 5*time.Second, "b")
+	select {
+	case s := <-rep.began:
+		_, err := s.Next()
+		for err == nil {
+			_, err = s.Next()
+		}
+		if err == io.EOF {
+			t.Error("the stream ended as whole")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no stream")
+	}
+	return rep.result(t)
+}
+
+// TestBrokenStreamNamesItsCause guards against streams that break off for a reason that neither
+// metrics nor log tell.
+func TestBrokenStreamNamesItsCause(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		rest string // what follows the first event
+		want dispatch.Cause
+	}{
+		"size of gigabytes":  {"c0000000\r\n", dispatch.FramingInvalid},
+		"within a size":      {"c000", dispatch.FramingStalled},
+		"within a trailer":   {"0\r\na: b", dispatch.FramingStalled},
+		"within an event":    {"ff\r\ndata: {", dispatch.EventStalled},
+		"behind an event":    {"", dispatch.NoEvent},
+		"behind a whole one": {"ff\r\ndata: {}\n\n", dispatch.NoEvent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			pool := NewPool(4, 0, 0)
+			pool.StallTimeout = 300 * time.Millisecond
+			got := breakStream(t, pool, writeRaw(head+"\r\n"+event+c.rest, ""))
+			if got.Broken != c.want || !strings.Contains(got.Detail, "bytes of events, last event ") {
+				t.Errorf("%+v, want %s", got, c.want)
+			}
+		})
+	}
+	got := breakStream(t, NewPool(4, 0, 0), func(x *fake.Exchange) { x.Head(); x.Token("one"); x.Break() })
+	if got.Broken != dispatch.ConnectionBroken {
+		t.Errorf("%+v, want %s", got, dispatch.ConnectionBroken)
+	}
+}
--- a/internal/replica/stream.go
+++ b/internal/replica/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -17,16 +18,23 @@
 
 // stream is an answer whose first event has been received.
 type stream struct {
-	a       *attempt
-	body    io.Reader
-	buf     []byte
-	pending int // bytes of buf that are read but not returned yet
-	err     error
+	a        *attempt
+	body     io.Reader
+	buf      []byte
+	pending  int // bytes of buf that are read but not returned yet
+	err      error
+	progress progress
 
 	mu    sync.Mutex
 	ended bool
 }
 
+func newStream(a *attempt) *stream {
+	s := &stream{a: a, buf: make([]byte, streamBuffer)}
+	s.body = bodyReader(&a.resp.Header, a.c.br, s.progress.record)
+	return s
+}
+
 // open reads the answer up to the end of its first event, which may arrive in several reads.
 // Nothing is passed on before that: an answer that breaks off earlier counts as no answer.
 func (s *stream) open() error {
@@ -71,8 +79,6 @@
 	return nil
 }
 
-var errStalled = errors.New("no event for too long")
-
 // allowPause lets the next read from the network wait for data for StallTimeout. It holds from the
 // first event on, which is passed on before anything else is read.
 func (s *stream) allowPause() {
@@ -103,12 +109,24 @@
 		s.end(dispatch.Result{Outcome: logic.Delivered}, true)
 		return nil, io.EOF
 	}
-	err := s.err
-	if isTimeout(err) {
-		err = errStalled
+	s.end(dispatch.Result{Outcome: logic.ConnectionLost, Broken: s.breakCause(), Detail: fmt.Sprintf("%v; %v", s.err, &s.progress)}, false)
+	return nil, s.err
+}
+
+// breakCause returns why the stream has ended before its end.
+func (s *stream) breakCause() dispatch.Cause {
+	body, chunked := s.body.(*chunkedBody)
+	switch {
+	case errors.Is(s.err, errBadFraming):
+		return dispatch.FramingInvalid
+	case !isTimeout(s.err):
+		return dispatch.ConnectionBroken
+	case chunked && body.inLine:
+		return dispatch.FramingStalled
+	case s.progress.inEvent:
+		return dispatch.EventStalled
 	}
-	s.end(dispatch.Result{Outcome: logic.ConnectionLost, Detail: err.Error()}, false)
-	return nil, err
+	return dispatch.NoEvent
 }
 
 // Close aborts a stream that has not been read to its end.
