End a stream by its last event, whatever else its replica sends

Callers were left waiting on streams that were not whole: for 5.2 to 5.4 s after the last event where a part of a line or event came and then nothing, and without end where a size line, an extension or a trailer line never ended.

Cause: any byte of the connection renewed the limit on a pause (4.75 s), also bytes of the framing, which no client sees, and the limit ran from the last byte and not from the last event, for which a client waits. Lines at fault: stream.allowPause, which set now + StallTimeout before each read. Class: a limit that is renewed by something other than what is waited for.

Change: replica.progress takes what comes of the events. A stream has stopped 4.75 s after its last event ended, later only while the next one is being written, with pauses of up to 3 s. What a client takes long to take does not count, as nothing is read meanwhile.

TestSlowClientKeepsItsStream fails without resume().

--- a/internal/replica/broken_test.go
+++ b/internal/replica/broken_test.go
@@ -8,6 +8,7 @@
 
 	"standpulley/internal/dispatch"
 	"standpulley/internal/fake"
+	"standpulley/logic"
 )
 
 // breakStream reads a stream that breaks off and returns the result of its attempt.
@@ -59,3 +60,49 @@
 		t.Errorf("%+v, want %s", got, dispatch.ConnectionBroken)
 	}
 }
+
+// TestSlowClientKeepsItsStream guards against a stream that counts as stopped because its client took
+// long to take an event.
+func TestSlowClientKeepsItsStream(t *testing.T) {
+	t.Parallel()
+	pool := NewPool(4, 0, 0)
+	pool.StallTimeout = 300 * time.Millisecond
+	rep, _ := send(pool, startReplica(t, func(x *fake.Exchange) { x.Answer("one", "two") }).Addr, 5*time.Second, "b")
+	s := <-rep.began
+	_, err := s.Next()
+	for err == nil {
+		time.Sleep(2 * pool.StallTimeout)
+		_, err = s.Next()
+	}
+	if got := rep.result(t); err != io.EOF || got.Outcome != logic.Delivered {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+// TestProgressDeadline guards against a limit that runs from anything but the last event: lines of
+// the framing must not renew it, and a part of an event only while more of the event comes.
+func TestProgressDeadline(t *testing.T) {
+	const limit = 5 * time.Second
+	for text, want := range map[string]time.Duration{
+		"data: {}\n\n":                 limit,
+		"data: {}\r\n\r\n":             limit,
+		"data: {}\n\ndata: {":          limit, // the part came with the event
+		"data: {}\n\n|1s|data: {":      limit, // and 1 s later
+		"data: {}\n\n|4s|data: {":      4*time.Second + eventPause,
+		"data: {}\n\n|4s|data: {}\n":   4*time.Second + eventPause,
+		"data: {}\n\n|4s|data: {}\n\n": 4*time.Second + limit,
+	} {
+		start := time.Now()
+		p, at := progress{lastEvent: start}, start
+		for _, part := range strings.Split(text, "|") {
+			if wait, err := time.ParseDuration(part); err == nil {
+				at = start.Add(wait)
+			} else {
+				p.record([]byte(part), at)
+			}
+		}
+		if got := p.deadline(limit).Sub(start); got != want {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+}
--- a/internal/replica/stream.go
+++ b/internal/replica/stream.go
@@ -30,8 +30,8 @@
 }
 
 func newStream(a *attempt) *stream {
-	s := &stream{a: a, buf: make([]byte, streamBuffer)}
-	s.body = bodyReader(&a.resp.Header, a.c.br, s.progress.record)
+	s := &stream{a: a, buf: make([]byte, streamBuffer), progress: progress{lastEvent: time.Now()}}
+	s.body = bodyReader(&a.resp.Header, a.c.br, func(text []byte) { s.progress.record(text, time.Now()) })
 	return s
 }
 
@@ -79,15 +79,16 @@
 	return nil
 }
 
-// allowPause lets the next read from the network wait for data for StallTimeout. It holds from the
-// first event on, which is passed on before anything else is read.
+// allowPause lets the next read from the network wait until the stream counts as stopped. It holds
+// from the first event on, which is passed on before anything else is read.
 func (s *stream) allowPause() {
-	_ = s.a.c.SetReadDeadline(time.Now().Add(s.a.req.Pool.StallTimeout)) // an error recurs in the read
+	_ = s.a.c.SetReadDeadline(s.progress.deadline(s.a.req.Pool.StallTimeout)) // an error recurs in the read
 }
 
-// Next returns the next bytes as they arrive. A stream has no deadline: it is cut only if no data
-// arrives for StallTimeout.
+// Next returns the next bytes as they arrive. A stream has no deadline: it is cut only if no event
+// ends for StallTimeout and none is being written.
 func (s *stream) Next() ([]byte, error) {
+	s.progress.resume()
 	if s.pending > 0 {
 		n := s.pending
 		s.pending = 0
