Pass on the events of a chunk that is written slowly as they come

Callers waited for events that had been written: for the end of their chunk (3.6 s for 60 events in 3,840 bytes), and without end where a chunk stated more than came: 64 or 256 KB are allowed, so nothing told it from a sound one.

Cause: a chunk was read whole, or up to 16 KB, before any of it was passed on.

Change: 100 ms after the first bytes of a chunk its whole events are passed on as more of it comes. A chunk that comes within 100 ms is passed on whole or not at all, as before, so TestMalformedAfterFirstEvent is as it was: a chunk that states too much and says nothing more brings no event. A part of an event stays until its end, or until 16 KB are held.

TestSlowStreamsComeWhole and TestClientIsNotLeftOnASpoiltStream hold as before it.

--- a/internal/replica/body.go
+++ b/internal/replica/body.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -21,6 +22,9 @@
 	maxChunk        = 256 << 10 // bytes, the limit of any body
 	maxLine         = 1 << 10   // bytes of a chunk size line or a trailer field
 	maxTrailerLines = 32
+	// chunkHold is how long the first bytes of a chunk wait for its end. What a client gets then has
+	// not been verified.
+	chunkHold = 100 * time.Millisecond
 )
 
 var (
@@ -74,13 +78,14 @@
 }
 
 // chunkedBody reads a body in chunked encoding. The last bytes of a chunk are returned only once
-// the chunk is seen to end there, so a chunk that fits into the buffer of one Read is returned
-// whole or not at all.
+// the chunk is seen to end there, so a chunk that fits into the buffer of one Read and comes within
+// chunkHold is returned whole or not at all.
 type chunkedBody struct {
 	br      *bufio.Reader
 	observe func([]byte)
 	inLine  bool // a line of the framing has begun and has not ended
 	inChunk bool // the size of the current chunk is known
+	split   bool // a part of the current chunk was returned as the rest did not come in time
 	left    int  // bytes of the current chunk
 }
 
@@ -116,17 +121,25 @@
 	if err != nil {
 		return 0, err
 	}
-	c.inChunk = false
+	c.inChunk, c.split = false, false
 	return n, nil
 }
 
-// readData fills p with data of the current chunk.
+// readData fills p with data of the current chunk. It returns a part of it if the chunk is being
+// written slowly: more has come chunkHold after the first bytes.
 func (c *chunkedBody) readData(p []byte) (n int, err error) {
-	for n < len(p) && err == nil {
+	for firstAt := time.Now(); n < len(p) && err == nil; {
 		var count int
 		count, err = c.br.Read(p[n:])
+		if n == 0 {
+			firstAt = time.Now()
+		}
 		c.observe(p[n : n+count])
 		n += count
+		c.split = c.split || time.Since(firstAt) >= chunkHold
+		if c.split {
+			break
+		}
 	}
 	return n, err
 }
--- a/internal/replica/stream.go
+++ b/internal/replica/stream.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -21,8 +22,10 @@
 	a        *attempt
 	body     io.Reader
 	buf      []byte
-	pending  int // bytes of buf that are read but not returned yet
-	err      error
+	filled   int   // bytes of buf that are in use
+	returned int   // the first of them, which the caller of Next has got
+	relayed  bool  // Next was called
+	err      error // ends the stream
 	progress progress
 
 	mu    sync.Mutex
@@ -42,16 +45,9 @@
 		return err
 	}
 	s.a.allowSilence(eventSilence)
-	for !hasEvent(s.buf[:s.pending]) {
-		if err := s.makeRoom(); err != nil {
-			return err
-		}
-		if s.pending == len(s.buf) {
-			return nil
-		}
-		n, err := s.body.Read(s.buf[s.pending:])
-		s.pending += n
-		if err == io.EOF && s.pending > 0 { // the complete answer
+	for !hasEvent(s.buf[:s.filled]) && s.filled < maxStreamBuffer {
+		err := s.fill()
+		if err == io.EOF && s.filled > 0 { // the complete answer
 			s.err = err
 			return nil
 		}
@@ -62,16 +58,26 @@
 	return nil
 }
 
+// fill reads more of the answer into the buffer, which must not be full.
+func (s *stream) fill() error {
+	if err := s.makeRoom(); err != nil {
+		return err
+	}
+	n, err := s.body.Read(s.buf[s.filled:])
+	s.filled += n
+	return err
+}
+
 // makeRoom makes the buffer large enough for the next chunk, up to maxStreamBuffer: a chunk that fits
 // is passed on only once it is verified.
 func (s *stream) makeRoom() error {
-	need := s.pending + streamBuffer
+	need := s.filled + streamBuffer
 	if body, ok := s.body.(*chunkedBody); ok {
 		left, err := body.begin()
 		if err != nil {
 			return err
 		}
-		need = s.pending + left
+		need = s.filled + left
 	}
 	if size := min(need, maxStreamBuffer); size > len(s.buf) {
 		s.buf = append(s.buf, make([]byte, size-len(s.buf))...)
@@ -89,22 +95,19 @@
 // ends for StallTimeout and none is being written.
 func (s *stream) Next() ([]byte, error) {
 	s.progress.resume()
-	if s.pending > 0 {
-		n := s.pending
-		s.pending = 0
+	if !s.relayed {
+		s.relayed = true
 		s.a.liftDeadline()
 		s.a.c.beforeRead = s.allowPause
-		return s.buf[:n], nil
 	}
-	if s.err == nil {
-		s.err = s.makeRoom()
+	s.filled = copy(s.buf, s.buf[s.returned:s.filled])
+	s.returned = s.ready()
+	for s.returned == 0 && s.err == nil {
+		s.err = s.fill()
+		s.returned = s.ready()
 	}
-	if s.err == nil {
-		var n int
-		n, s.err = s.body.Read(s.buf)
-		if n > 0 {
-			return s.buf[:n], nil
-		}
+	if s.returned > 0 {
+		return s.buf[:s.returned], nil
 	}
 	if s.err == io.EOF {
 		s.end(dispatch.Result{Outcome: logic.Delivered}, true)
@@ -114,6 +117,28 @@
 	return nil, s.err
 }
 
+// ready returns how many bytes of the buffer can be passed on: all but the part of an event in a
+// chunk of which more is to come.
+func (s *stream) ready() int {
+	body, chunked := s.body.(*chunkedBody)
+	if !chunked || !body.inChunk || s.err == io.EOF || s.filled == maxStreamBuffer {
+		return s.filled
+	}
+	return eventsEnd(s.buf[:s.filled])
+}
+
+// eventsEnd returns where the last complete event in text ends, or 0.
+func eventsEnd(text []byte) (end int) {
+	at := 0
+	for line := range bytes.Lines(text) {
+		at += len(line)
+		if line[len(line)-1] == '\n' && len(bytes.TrimRight(line, "\r\n")) == 0 {
+			end = at
+		}
+	}
+	return end
+}
+
 // breakCause returns why the stream has ended before its end.
 func (s *stream) breakCause() dispatch.Cause {
 	body, chunked := s.body.(*chunkedBody)
