Take an answer that states a length of over 256 KB for a broken one

Callers could be left with a stream said to have gigabytes: the size of a chunk was bounded, the Content-Length of an answer was not, so events of such an answer were passed on until it paused.

Cause: bodyReader took any length. Class: a bound that stands at one of two places that state the same thing.

Change: a stated length over the bound is broken framing, as a chunk of that size is: before the first event a failed attempt that may have run.

Evidence: TestMalformedBeforeFirstEvent, case 'length of 3 GB', fails before (the attempt goes on) and passes now.

--- a/internal/replica/body.go
+++ b/internal/replica/body.go
@@ -19,7 +19,7 @@
 // and is not passed on.
 
 const (
-	maxChunk        = 256 << 10 // bytes, the limit of any body
+	maxSize         = 256 << 10 // bytes that a length or a chunk may state, the limit of any body
 	maxLine         = 1 << 10   // bytes of a chunk size line or a trailer field
 	maxTrailerLines = 32
 	// chunkHold is how long the first bytes of a chunk wait for its end. What a client gets then has
@@ -38,19 +38,21 @@
 	switch n := h.ContentLength(); {
 	case h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified:
 		return bytes.NewReader(nil)
+	case n > maxSize:
+		return invalidBody{fmt.Errorf("%w: a body of %d bytes", errBadFraming, n)}
 	case n >= 0:
 		return &sizedBody{br, n, observe}
 	case n == -1:
 		return &chunkedBody{br: br, observe: observe}
 	}
-	return unframedBody{}
+	// A body that ends with its connection: a truncated one could not be told from a complete one.
+	return invalidBody{errNoFraming}
 }
 
-// unframedBody is a body that ends with its connection. It is not read, as a truncated one could
-// not be told from a complete one.
-type unframedBody struct{}
+// invalidBody is a body that is not read.
+type invalidBody struct{ err error }
 
-func (unframedBody) Read([]byte) (int, error) { return 0, errNoFraming }
+func (b invalidBody) Read([]byte) (int, error) { return 0, b.err }
 
 // sizedBody reads a body of known length, of which left bytes remain.
 type sizedBody struct {
@@ -173,7 +175,7 @@
 	}
 	digits, _, _ := strings.Cut(line, ";") // extensions are ignored
 	size, err := strconv.ParseUint(strings.TrimRight(digits, " \t"), 16, 32)
-	if err != nil || strings.ContainsAny(digits, "+_") || size > maxChunk {
+	if err != nil || strings.ContainsAny(digits, "+_") || size > maxSize {
 		return 0, fmt.Errorf("%w: chunk of size %.20q", errBadFraming, line)
 	}
 	return int(size), nil
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -126,6 +126,7 @@
 		"chunk too short":    writeRaw(head + "\r\n5\r\ndata: {}\n\n\r\n"),
 		"chunk too long":     writeRaw(head + "\r\nff\r\ndata: {}\n\n\r\n"),
 		"3 GB":               writeRaw(head + "\r\nc0000000\r\ndata: {}\n\n"),
+		"length of 3 GB":     writeRaw("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\ndata: {}\n\n"),
 		"no event":           writeRaw(head + "\r\n0\r\n\r\n"),
 	} {
 		pool := NewPool(4, 0, 0)
