Soak answers that are spoilt at some event or written slowly

The judge finds a client that waited over 5 s after the last event of a stream that is not whole, or after the last part of an event that was being written; it allows a stream to break off where its server spoilt it, and still none to end as whole. TestSoakWithSpoiltAnswers plays three short seeds.

--- a/cmd/proving/soak.go
+++ b/cmd/proving/soak.go
@@ -18,9 +18,10 @@
 	Size   float64       `default:"1" help:"Scales the number of processes; 1 is from 10 to 40."`
 	Beside int           `default:"2" help:"Seeds that are played at once."`
 
-	BadClients bool `help:"Clients that misbehave appear too."`
-	MemoryMB   int  `default:"128" help:"Memory limit of each dispatcher."`
-	Race       bool `help:"The program has the race detector, and can't keep its memory limit."`
+	BadClients    bool `help:"Clients that misbehave appear too."`
+	SpoiltAnswers bool `help:"Some answers are spoilt at some event, or written slowly."`
+	MemoryMB      int  `default:"128" help:"Memory limit of each dispatcher."`
+	Race          bool `help:"The program has the race detector, and can't keep its memory limit."`
 }
 
 // Run plays the seeds and prints a line for each, followed by its findings.
@@ -70,6 +71,9 @@
 	if s.BadClients {
 		scenario = scenario.WithBadClients()
 	}
+	if s.SpoiltAnswers {
+		scenario = scenario.WithSpoiltAnswers()
+	}
 	rec, err := soak.Run(context.Background(), scenario, p, folder)
 	if err != nil {
 		return 1, fmt.Sprintf("seed %d: %v (its files: %s)\n", seed, err, folder)
--- a/cmd/standpulley/soak_test.go
+++ b/cmd/standpulley/soak_test.go
@@ -32,6 +32,19 @@
 	}
 }
 
+// TestSoakWithSpoiltAnswers is TestSoak with answers that are spoilt at some event or written slowly:
+// no client may be left waiting on one.
+func TestSoakWithSpoiltAnswers(t *testing.T) {
+	binary, err := deployedBinary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	deployed := soak.Program{Dispatcher: binary, Replica: os.Args[0]}
+	for seed := uint64(1); seed <= 3; seed++ {
+		playSoak(t, soak.Generate(seed, soakSize, soakLength).WithSpoiltAnswers(), deployed)
+	}
+}
+
 const (
 	soakSize   = 0.4
 	soakLength = 5 * time.Second
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -29,6 +29,7 @@
 	Status        int       // 0: the connection ended without an answer
 	FirstByte     time.Time // when the response head arrived
 	Done          time.Time
+	LastEvent     time.Time // when an event last came, or the response head
 	Tokens        int
 	Complete      bool
 	StreamError   string        // a token of another request or out of order, or an early end of the stream
@@ -230,7 +231,7 @@
 // read reads an answer and reports whether the connection can be reused.
 func (g *group) read(c *clientConn, a *Request) (keep bool) {
 	resp, err := http.ReadResponse(c.br, nil)
-	a.FirstByte, a.Done = time.Now(), time.Now()
+	a.FirstByte, a.Done, a.LastEvent = time.Now(), time.Now(), time.Now()
 	if err != nil {
 		a.EndReason = err.Error()
 		return false
@@ -254,6 +255,7 @@
 			}
 			return a.Complete && !resp.Close
 		}
+		a.LastEvent = a.Done
 		done = done || strings.Contains(line, "[DONE]")
 		a.event(strings.TrimSpace(strings.TrimPrefix(line, "data: ")))
 	}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -144,11 +144,12 @@
 	if a.MaxEventDelay > eventDelayMax+pauseMax+j.slack {
 		f.DelayedStreams++
 	}
+	j.checkLeftWaiting(a, lost)
 	finished := slices.ContainsFunc(j.byRequest[a.ID], func(n Report) bool { return n.Kind == Finished })
 	switch {
 	case a.Complete && !finished:
 		lost("the stream is complete, but no replica finished it")
-	case !a.Complete && !j.killedDuring(a) && !j.replicaWasFaulty(a):
+	case !a.Complete && !j.killedDuring(a) && !j.replicaWasFaulty(a) && !j.wasSpoilt(a):
 		lost("stream truncated after %d tokens: %s", a.Tokens, a.EndReason)
 	}
 }
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -24,6 +24,8 @@
 	Listen   string
 	Registry string // address of the registry that gets the reports
 	Seed     uint64
+	// SpoiltShare is the share of the answers that depart from the usual form.
+	SpoiltShare float64
 }
 
 // ReportKind says what a replica reports.
@@ -36,6 +38,8 @@
 	Fetch         ReportKind = "fetch"    // a writer asks for the state; the registry says whether it is held
 	StreamStarted ReportKind = "ran"      // a writer begins to stream its answer
 	Ended         ReportKind = "ended"    // an attempt is over, whichever side ended it
+	Writing       ReportKind = "writing"  // a writer has written a part of a long event
+	Spoilt        ReportKind = "spoilt"   // a writer goes on with something that is no sound stream
 	Finished      ReportKind = "finished" // a writer has written its stream completely
 	Released      ReportKind = "released" // a call to release held state has arrived
 	Abandoned     ReportKind = "gave up"  // reported by the link: a dispatcher ended an attempt on a silent connection
@@ -251,8 +255,12 @@
 	r.mu.Lock()
 	tokens, breaks := 2+r.draw.IntN(extraTokensMax), r.draw.Float64() < r.behavior.BreakStream
 	r.mu.Unlock()
+	departure, departsAt := r.drawDeparture(tokens)
 	x.Head()
 	for n := range tokens {
+		if departure != nil && n == departsAt && !r.depart(x, departure) {
+			return
+		}
 		if breaks && n == tokens/2 {
 			x.Break()
 			return
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -204,7 +204,8 @@
 		return err
 	}
 	for i := range r.scenario.Readers + r.scenario.Writers {
-		n := &node{cfg: ReplicaConfig{Name: fmt.Sprintf("w%d", i), Reader: i < r.scenario.Readers, Registry: r.registry.ln.Addr().String(), Seed: r.scenario.Seed + uint64(i)}}
+		n := &node{cfg: ReplicaConfig{Name: fmt.Sprintf("w%d", i), Reader: i < r.scenario.Readers, Registry: r.registry.ln.Addr().String(),
+			Seed: r.scenario.Seed + uint64(i), SpoiltShare: r.scenario.SpoiltShare}}
 		kind := "writer"
 		if n.cfg.Reader {
 			kind, n.cfg.Name = "reader", fmt.Sprintf("r%d", i)
