--- a/internal/replica/body.go
+++ b/internal/replica/body.go
@@ -130,20 +130,22 @@
 // readData fills p with data of the current chunk. It returns a part of it if the chunk is being
 // written slowly: more has come chunkHold after the first bytes.
 func (c *chunkedBody) readData(p []byte) (n int, err error) {
-	for firstAt := time.Now(); n < len(p) && err == nil; {
-		var count int
-		count, err = c.br.Read(p[n:])
-		if n == 0 {
-			firstAt = time.Now()
-		}
+	var firstAt time.Time
+	for n < len(p) {
+		count, err := c.br.Read(p[n:])
 		c.observe(p[n : n+count])
 		n += count
-		c.split = c.split || time.Since(firstAt) >= chunkHold
-		if c.split {
+		if err != nil {
+			return n, err
+		}
+		if firstAt.IsZero() {
+			firstAt = time.Now()
+		}
+		if c.split = c.split || time.Since(firstAt) >= chunkHold; c.split {
 			break
 		}
 	}
-	return n, err
+	return n, nil
 }
 
 // readLine returns the text up to the next CR LF, which ends every line of the framing.
--- a/internal/replica/broken_test.go
+++ b/internal/replica/broken_test.go
@@ -89,6 +89,7 @@
 		"data: {}\n\ndata: {":          limit, // the part came with the event
 		"data: {}\n\n|1s|data: {":      limit, // and 1 s later
 		"data: {}\n\n|4s|data: {":      4*time.Second + eventPause,
+		"data: {}\n\n|4s|\n\n":         limit, // empty lines alone are no event
 		"data: {}\n\n|4s|data: {}\n":   4*time.Second + eventPause,
 		"data: {}\n\n|4s|data: {}\n\n": 4*time.Second + limit,
 	} {
--- a/internal/replica/progress.go
+++ b/internal/replica/progress.go
@@ -20,8 +20,8 @@
 	resumedAt time.Time // when reading last went on
 }
 
-// record takes the next bytes of the events, which came at the given time. An empty line ends an
-// event.
+// record takes the next bytes of the events, which came at the given time. An empty line behind
+// others ends an event.
 func (p *progress) record(text []byte, at time.Time) {
 	if len(text) == 0 {
 		return
@@ -35,7 +35,7 @@
 			p.lineBegun, p.inEvent = true, true
 		case p.lineBegun:
 			p.lineBegun = false
-		default:
+		case p.inEvent:
 			p.inEvent, p.lastEvent = false, p.lastData
 		}
 	}
