Count a pause from the last event that the client got

A client waited for 5.25 and 5.27 s after the last event that it had got: the next one had come whole, and the end of its chunk had not.

Change: the limit runs from the last event that was passed on; an event that is being written, or whose chunk is, has 3 s from its last byte as before. TestProgressDeadline follows.

--- a/cmd/standpulley/broken_stream_test.go
+++ b/cmd/standpulley/broken_stream_test.go
@@ -203,6 +203,7 @@
 		"trailer lines that never end":          {rest: never("0\r\n", "a: b\r\n")},
 		"a part of a size line, then silence":   {rest: func(w *streamWriter) { w.pieces("c0000", 1, 2*eventPace) }},
 		"a part of an event, then silence":      {rest: func(w *streamWriter) { w.pieces("ff\r\ndata: {\"", 2, 2*eventPace) }},
+		"an event whose chunk does not end":     {rest: func(w *streamWriter) { w.pieces("a\r\ndata: {}\n\n\r", 2, 80*time.Millisecond) }},
 		"an end without the last chunk's lines": {rest: func(w *streamWriter) { w.pieces("0\r\n", 1, 3*eventPace) }},
 	}
 	playStreams(t, cases, func(t *testing.T, _ streamCase, w *streamWriter, got clientStream) {
--- a/internal/replica/broken_test.go
+++ b/internal/replica/broken_test.go
@@ -79,25 +79,30 @@
 	}
 }
 
-// TestProgressDeadline guards against a limit that runs from anything but the last event: lines of
-// the framing must not renew it, and a part of an event only while more of the event comes.
+// TestProgressDeadline guards against a limit that runs from anything but the last event that was
+// passed on: lines of the framing must not renew it, and a part of an event only while more of the
+// event comes.
 func TestProgressDeadline(t *testing.T) {
 	const limit = 5 * time.Second
 	for text, want := range map[string]time.Duration{
-		"data: {}\n\n":                 limit,
-		"data: {}\r\n\r\n":             limit,
-		"data: {}\n\ndata: {":          limit, // the part came with the event
-		"data: {}\n\n|1s|data: {":      limit, // and 1 s later
-		"data: {}\n\n|4s|data: {":      4*time.Second + eventPause,
-		"data: {}\n\n|4s|\n\n":         limit, // empty lines alone are no event
-		"data: {}\n\n|4s|data: {}\n":   4*time.Second + eventPause,
-		"data: {}\n\n|4s|data: {}\n\n": 4*time.Second + limit,
+		"":                                   limit,
+		"1s|data: {":                         limit,
+		"1s|data: {}\n\n":                    limit,
+		"1s|data: {}\n\n|passed":             time.Second + limit,
+		"1s|data: {}\r\n\r\n|passed|data: {": time.Second + limit,
+		"4s|\n\n":                            limit, // empty lines alone are no event
+		"4s|data: {":                         4*time.Second + eventPause,
+		"4s|data: {}\n":                      4*time.Second + eventPause,
+		"4s|data: {}\n\n":                    4*time.Second + eventPause, // its chunk has not ended
+		"4s|data: {}\n\n|passed":             4*time.Second + limit,
 	} {
 		start := time.Now()
 		p, at := progress{lastEvent: start}, start
 		for _, part := range strings.Split(text, "|") {
 			if wait, err := time.ParseDuration(part); err == nil {
 				at = start.Add(wait)
+			} else if part == "passed" {
+				p.resume(at)
 			} else {
 				p.record([]byte(part), at)
 			}
--- a/internal/replica/progress.go
+++ b/internal/replica/progress.go
@@ -12,12 +12,12 @@
 // progress follows the events of a stream, to tell one that is being written from one that has
 // stopped. Bytes of the framing do not count, as clients do not see them.
 type progress struct {
-	bytes     int       // of events
-	inEvent   bool      // an event has begun and has not ended
-	lineBegun bool      // the present line has at least one byte
-	lastData  time.Time // when bytes of an event last came
-	lastEvent time.Time // when an event last ended
-	resumedAt time.Time // when reading last went on
+	bytes      int       // of events
+	inEvent    bool      // an event has begun and has not ended
+	eventEnded bool      // an event has ended that was not passed on yet
+	lineBegun  bool      // the present line has at least one byte
+	lastData   time.Time // when bytes of an event last came
+	lastEvent  time.Time // when the client had last taken an event
 }
 
 // record takes the next bytes of the events, which came at the given time. An empty line behind
@@ -36,29 +36,29 @@
 		case p.lineBegun:
 			p.lineBegun = false
 		case p.inEvent:
-			p.inEvent, p.lastEvent = false, p.lastData
+			p.inEvent, p.eventEnded = false, true
 		}
 	}
 }
 
-// resume is called when the client has taken what came since the previous call. Nothing was read
-// meanwhile, however long that took, so waiting for the next event begins now.
-func (p *progress) resume() {
-	now := time.Now()
-	if p.lastData.After(p.resumedAt) {
-		p.lastData = now
-	}
-	if p.lastEvent.After(p.resumedAt) {
-		p.lastEvent = now
+// resume is called at the time at which the client has taken all events that have ended. Nothing was
+// read meanwhile, however long that took, so waiting for the next event begins then.
+func (p *progress) resume(at time.Time) {
+	p.lastData = at
+	if p.eventEnded {
+		p.eventEnded, p.lastEvent = false, at
 	}
-	p.resumedAt = now
 }
 
-// deadline returns when a stream has stopped that brings nothing more: stallTimeout after its last
-// event, later only while the replica writes the next one.
+// deadline returns when a stream has stopped that brings nothing more: stallTimeout after the last
+// event that was passed on, later only while the replica writes the next one and the end of its
+// chunk.
 func (p *progress) deadline(stallTimeout time.Duration) time.Time {
 	deadline := p.lastEvent.Add(stallTimeout)
-	if pauseEnd := p.lastData.Add(min(eventPause, stallTimeout)); p.inEvent && pauseEnd.After(deadline) {
+	if !p.inEvent && !p.eventEnded {
+		return deadline
+	}
+	if pauseEnd := p.lastData.Add(min(eventPause, stallTimeout)); pauseEnd.After(deadline) {
 		return pauseEnd
 	}
 	return deadline
--- a/internal/replica/stream.go
+++ b/internal/replica/stream.go
@@ -94,7 +94,7 @@
 // Next returns the next bytes as they arrive. A stream has no deadline: it is cut only if no event
 // ends for StallTimeout and none is being written.
 func (s *stream) Next() ([]byte, error) {
-	s.progress.resume()
+	s.progress.resume(time.Now())
 	if !s.relayed {
 		s.relayed = true
 		s.a.liftDeadline()
