Name in a soak's finding how an answer was spoilt

A finding of a client left waiting did not say what its server had sent. Reports have the way now, the finding quotes it. What deviates from the usual form is called so.

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -149,7 +149,7 @@
 	switch {
 	case a.Complete && !finished:
 		lost("the stream is complete, but no replica finished it")
-	case !a.Complete && !j.killedDuring(a) && !j.replicaWasFaulty(a) && !j.wasSpoilt(a):
+	case !a.Complete && !j.killedDuring(a) && !j.replicaWasFaulty(a) && j.spoiltAs(a) == "":
 		lost("stream truncated after %d tokens: %s", a.Tokens, a.EndReason)
 	}
 }
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -58,9 +58,9 @@
 		"closed between requests":    {record(Request{Done: ms(5), EndReason: "EOF"}), ""},
 		"closed, but forwarded":      {record(Request{Done: ms(500), EndReason: "EOF"}, with(whole)...), RuleLost},
 		"truncated stream":           {record(Request{Status: 200, FirstByte: ms(150), Done: ms(250), EndReason: "EOF"}, with(whole)...), RuleLost},
-		"spoilt stream":              {record(Request{Status: 200, FirstByte: ms(150), LastEvent: ms(160), Done: ms(250), EndReason: "EOF"}, with(run, Report{At: ms(160), Replica: "w0", Kind: Spoilt})...), ""},
-		"spoilt stream, left open":   {record(Request{Status: 200, FirstByte: ms(150), LastEvent: ms(160), Done: ms(5500), EndReason: "EOF"}, with(run, Report{At: ms(160), Replica: "w0", Kind: Spoilt})...), RuleLost},
-		"spoilt stream, ended whole": {record(served, with(read, append(run, Report{At: ms(160), Replica: "w0", Kind: Spoilt})...)...), RuleLost},
+		"spoilt stream":              {record(Request{Status: 200, FirstByte: ms(150), LastEvent: ms(160), Done: ms(250), EndReason: "EOF"}, with(run, Report{At: ms(160), Replica: "w0", Kind: Spoilt, Detail: "b"})...), ""},
+		"spoilt stream, left open":   {record(Request{Status: 200, FirstByte: ms(150), LastEvent: ms(160), Done: ms(5500), EndReason: "EOF"}, with(run, Report{At: ms(160), Replica: "w0", Kind: Spoilt, Detail: "b"})...), RuleLost},
+		"spoilt stream, ended whole": {record(served, with(read, append(run, Report{At: ms(160), Replica: "w0", Kind: Spoilt, Detail: "b"})...)...), RuleLost},
 		"complete, never finished":   {record(served, with(read, run...)...), RuleLost},
 		"foreign token":              {record(Request{Status: 200, FirstByte: ms(150), Done: ms(300), Complete: true, StreamError: "b"}, with(whole)...), RuleLost},
 		"forwarded after the client": {record(Request{ClientClosed: ms(10), Done: ms(10)}, Report{At: ms(900), Replica: "r0", Kind: Received}, Report{At: ms(910), Replica: "r0", Kind: Ended}), RuleForwarded},
@@ -143,7 +143,7 @@
 		"logged a violated rule": func(r *Record, _ *Process) { r.Logs = map[string]string{"n0": "1 a violated: held_too_long\n"} },
 		"sent to a draining replica": func(r *Record, _ *Process) {
 			r.Drains = []Drain{{"r0", r.Started}}
-			r.Reports = []Report{{r.Started.Add(3 * time.Second), "r0", Received, "a"}}
+			r.Reports = []Report{{At: r.Started.Add(3 * time.Second), Replica: "r0", Kind: Received, ID: "a"}}
 		},
 		"kept a client waiting for 4 s": func(r *Record, _ *Process) { r.Problems = []string{"4 s"} },
 	} {
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -24,7 +24,7 @@
 	Listen   string
 	Registry string // address of the registry that gets the reports
 	Seed     uint64
-	// SpoiltShare is the share of the answers that depart from the usual form.
+	// SpoiltShare is the share of the answers that deviate from the usual form.
 	SpoiltShare float64
 }
 
@@ -51,6 +51,7 @@
 	Replica string
 	Kind    ReportKind
 	ID      string
+	Detail  string // with Spoilt: in which way
 }
 
 // Behavior says how a replica treats calls.
@@ -255,10 +256,10 @@
 	r.mu.Lock()
 	tokens, breaks := 2+r.draw.IntN(extraTokensMax), r.draw.Float64() < r.behavior.BreakStream
 	r.mu.Unlock()
-	departure, departsAt := r.drawDeparture(tokens)
+	deviation, deviatesAt := r.drawDeviation(tokens)
 	x.Head()
 	for n := range tokens {
-		if departure != nil && n == departsAt && !r.depart(x, departure) {
+		if deviation != nil && n == deviatesAt && !r.deviate(x, deviation) {
 			return
 		}
 		if breaks && n == tokens/2 {
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -23,7 +23,7 @@
 	Shutdown         shutdownPlan
 	BadClients       []badClients // in order of their start
 	MemoryMB         int          // memory limit of each dispatcher; 0: usualMemoryMB
-	SpoiltShare      float64      // share of the answers that depart from the usual form
+	SpoiltShare      float64      // share of the answers that deviate from the usual form
 }
 
 const usualMemoryMB = 128
