Use servers' kept connections in the plays of spoilt streams, and count their events

The second request of a kept client came within 30 ms of the first, too soon for a server's connection to be used again; a slow stream that came whole was not checked for its events.

--- a/cmd/standpulley/broken_stream_test.go
+++ b/cmd/standpulley/broken_stream_test.go
@@ -20,6 +20,7 @@
 	// eventDelayMax is how long after its writing an event may come to the client.
 	eventDelayMax = 300 * time.Millisecond
 	eventPace     = 60 * time.Millisecond
+	soundEvents   = 5 // at the beginning of each stream
 )
 
 // streamCase is the rest of an answer, behind some events, and what a client must see of it.
@@ -76,6 +77,7 @@
 	maxDelay time.Duration // from the writing of an event to its arrival
 }
 
+// readStream reads a response to its end.
 func readStream(br *bufio.Reader) (s clientStream) {
 	resp, err := http.ReadResponse(br, nil)
 	if err != nil {
@@ -119,7 +121,7 @@
 		writers[x.ID] = w
 		mu.Unlock()
 		x.Head()
-		for range 5 {
+		for range soundEvents {
 			w.event()
 			time.Sleep(eventPace)
 		}
@@ -157,6 +159,7 @@
 				if first := readStream(br); first.err != nil || first.status != http.StatusOK {
 					t.Errorf("%s: first request %+v", name, first)
 				}
+				time.Sleep(2 * eventPace) // from then on the program uses the servers' connections again
 			}
 			_, _ = io.WriteString(c, platformRequest(k.n, k.class, "", 2))
 			got := readStream(br)
@@ -231,7 +234,7 @@
 		"events that pause in between": {whole: true, rest: func(w *streamWriter) { w.event(); w.pieces(chunk(timedEvent(60)), 20, 4*time.Second/5) }},
 	}
 	playStreams(t, cases, func(t *testing.T, _ streamCase, _ *streamWriter, got clientStream) {
-		if got.err != nil {
+		if got.err != nil || got.events <= soundEvents {
 			t.Errorf("%d events, then %v", got.events, got.err)
 		}
 	})
