Allow a shorter pause within an event that takes longer than a stream may pause

A client was left for 6.03 s after the last event: its server had stopped for 2.6 s, sent a part of an event 3 s after the last whole one, and then nothing more.

Change: 1.5 s. Two demands meet here: a stream that is not whole has to end 5 s after its last event, and one that is being written must not be cut. No limit holds both for an event that takes over 4.75 s; what is left is an event that its server leaves after 3.25 s of writing.

--- a/internal/replica/progress.go
+++ b/internal/replica/progress.go
@@ -7,7 +7,7 @@
 
 // eventPause is how long a replica may pause within an event once stallTimeout has passed since the
 // event before it.
-const eventPause = 3 * time.Second
+const eventPause = 1500 * time.Millisecond
 
 // progress follows the events of a stream, to tell one that is being written from one that has
 // stopped. Bytes of the framing do not count, as clients do not see them.
