Watch the own agent of discovery at every dispatcher where lists are pushed

Where dispatchers agree on lists, two of them read discovery for all and the others stopped their watch. Where lists are pushed, what an agent has counts as told whether or not a watch is open, so the others were told and did not hear it until the readers' agents had the drain too.

Now every dispatcher watches its own agent where lists are pushed, as it costs discovery nothing there; the leader still takes the readings of the readers alone. Where discovery is asked, only the readers ask, as before. What loosens a list still waits for agreement.

The harness judged by what an agent had sent, so it could not see a dispatcher that does not ask: it now goes by what the agent has where lists are pushed.

--- a/cmd/proving/lists.go
+++ b/cmd/proving/lists.go
@@ -49,7 +49,7 @@
 }
 
 func (l listsCmd) withFleet(c *cli, size, rate int, standalone bool, f func(b *proving.Bench) error) error {
-	s := proving.Script{Name: "lists", Voters: 3, Within: listsWithin.String(), Alone: l.Alone, Rate: rate, Last: "0s", Lists: true, Standalone: standalone}
+	s := proving.Script{Name: "lists", Voters: 3, Within: listsWithin.String(), Alone: l.Alone, Rate: rate, Last: "0s", Lists: true, OnRequest: true, Standalone: standalone}
 	if size >= 10 {
 		s.Voters = 5
 	}
--- a/internal/cluster/lists.go
+++ b/internal/cluster/lists.go
@@ -180,6 +180,9 @@
 	entries map[string]membership.Entry // never modified; nil before the first answer of the registry
 	number  uint64                      // of the reading, which grows with each
 	changed chan struct{}
+	// The leader has picked other readers, by the last answer to a renewal. This dispatcher may still
+	// watch the registry for itself.
+	excluded atomic.Bool
 
 	// The fields below belong to the goroutine of reportRegistry, except the atomic ones.
 	sentEntries map[string]membership.Entry // the entries that the leader has
@@ -225,9 +228,12 @@
 }
 
 // reportOnce sends the leader what it does not have yet and reports whether it has the present
-// reading now.
+// reading now, or needs none of this dispatcher.
 func (m *member) reportOnce(leader string) bool {
 	r, n := &m.registry, m.n
+	if r.excluded.Load() {
+		return true
+	}
 	r.mu.Lock()
 	reading := membership.Reading{Reader: n.opt.Name, Boot: n.boot, Index: r.version, Number: r.number}
 	entries := r.entries
@@ -278,7 +284,8 @@
 	if l == nil {
 		return errors.New("the voters do not agree on lists of replicas: agree.lists is not set there")
 	}
-	m.n.program.SetReading(l.ReadRegistry)
+	m.n.program.SetReader(l.ReadRegistry)
+	m.registry.excluded.Store(!l.ReadRegistry)
 	if l.ReadRegistry {
 		m.registry.ackedNumber.Store(l.ReadingNumber)
 		m.registry.ackedAt.Store(int64(sent))
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -50,11 +50,11 @@
 	// previous list any more. dispatchers is their number, and counted is set if this one may use
 	// its share of the limits that are summed over them.
 	ApplyList(l membership.List, dispatchers int, counted bool) error
-	// SetReading starts or stops reading the registry on behalf of all dispatchers.
-	SetReading(bool)
+	// SetReader makes this dispatcher a reader of the registry on behalf of all, or no longer one.
+	SetReader(bool)
 	// LeaseLost notifies the program that the lease has expired.
 	LeaseLost()
-	// RegistrySilent reports whether the registry is read and gives no answers.
+	// RegistrySilent reports whether the registry is watched and gives no answers.
 	RegistrySilent() bool
 	// Phase returns the program's phase, for display only.
 	Phase() string
--- a/internal/fake/agent.go
+++ b/internal/fake/agent.go
@@ -24,20 +24,20 @@
 type Agent struct {
 	Addr string
 
-	ln              net.Listener
-	mu              sync.Mutex
-	version         int64
-	list            []Entry
-	changed         chan struct{} // closed when the list changes
-	queries         []string      // query strings of all requests so far
-	overloaded      bool
-	unresponsive    bool
-	limiter         *rate.Limiter // of the discovery service that all agents share; may be nil
-	requests        [2]int        // accepted, refused
-	bytesSent       int
-	servedVersion   int64                // version of the full list that was served last
-	servedInService map[string]bool      // replicas that have been served as in service
-	removalServedAt map[string]time.Time // by replica, see RemovalServedAt
+	ln             net.Listener
+	mu             sync.Mutex
+	version        int64
+	list           []Entry
+	changed        chan struct{} // closed when the list changes
+	queries        []string      // query strings of all requests so far
+	overloaded     bool
+	unresponsive   bool
+	limiter        *rate.Limiter // of the discovery service that all agents share; may be nil
+	requests       [2]int        // accepted, refused
+	bytesSent      int
+	servedVersion  int64 // version of the full list that was served last
+	servedRemovals removals
+	heldRemovals   removals
 
 	changedIn   map[string]int64 // by replica, the version that last changed it, from deltasSince on
 	deltasSince int64            // oldest version for which a delta can be served; 0 if there is none
@@ -49,7 +49,8 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{Addr: ln.Addr().String(), ln: ln, version: 1, list: list, changed: make(chan struct{}), servedInService: map[string]bool{}, removalServedAt: map[string]time.Time{}}
+	a := &Agent{Addr: ln.Addr().String(), ln: ln, version: 1, list: list, changed: make(chan struct{}), servedRemovals: newRemovals(), heldRemovals: newRemovals()}
+	a.recordHeld()
 	go func() { _ = fasthttp.Serve(ln, a.serve) }() // ends with the listener
 	return a, nil
 }
@@ -63,6 +64,7 @@
 	defer a.mu.Unlock()
 	a.version++
 	a.list = list
+	a.recordHeld()
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
@@ -89,6 +91,7 @@
 			a.list = append(a.list, e)
 		}
 	}
+	a.recordHeld()
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
@@ -114,6 +117,7 @@
 	defer a.mu.Unlock()
 	a.version = version
 	a.list = list
+	a.recordHeld()
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
@@ -124,6 +128,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.unresponsive = enabled
+	a.recordHeld()
 }
 
 // isConnected reports whether the client has not closed its connection yet. A list sent to a client
@@ -151,23 +156,47 @@
 func (a *Agent) RemovalServedAt(replica string) time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.removalServedAt[replica]
+	return a.servedRemovals.since[replica]
 }
 
-// recordServed records which replicas a served list has as in service and which it has no longer.
-// The caller holds mu.
-func (a *Agent) recordServed(list []Entry) {
+// RemovalHeldAt is RemovalServedAt for the lists that the agent has, whether or not anybody asked for
+// them. An agent that does not answer learns of nothing until it answers again.
+func (a *Agent) RemovalHeldAt(replica string) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.heldRemovals.since[replica]
+}
+
+// recordHeld records the present list as one that the agent has. The caller holds mu.
+func (a *Agent) recordHeld() {
+	if !a.unresponsive {
+		a.heldRemovals.record(a.list)
+	}
+}
+
+// removals tells of a sequence of lists which replicas went out of service, and when.
+type removals struct {
+	inService map[string]bool // replicas that have been in service
+	since     map[string]time.Time
+}
+
+func newRemovals() removals {
+	return removals{inService: map[string]bool{}, since: map[string]time.Time{}}
+}
+
+// record takes the next list.
+func (r removals) record(list []Entry) {
 	now := map[string]bool{}
 	for _, e := range list {
 		if e.State == "in_service" {
 			now[e.ID] = true
-			a.servedInService[e.ID] = true
-			delete(a.removalServedAt, e.ID)
+			r.inService[e.ID] = true
+			delete(r.since, e.ID)
 		}
 	}
-	for id := range a.servedInService {
-		if _, recorded := a.removalServedAt[id]; !now[id] && !recorded {
-			a.removalServedAt[id] = time.Now()
+	for id := range r.inService {
+		if _, recorded := r.since[id]; !now[id] && !recorded {
+			r.since[id] = time.Now()
 		}
 	}
 }
@@ -268,7 +297,7 @@
 	a.bytesSent += len(text)
 	// Recorded after encoding, which can take long: the list counts as served no earlier than this.
 	if reply.Full && isConnected(ctx.Conn()) {
-		a.recordServed(reply.Servers)
+		a.servedRemovals.record(reply.Servers)
 		a.servedVersion = reply.Version
 	}
 	a.mu.Unlock()
--- a/internal/program/agreement.go
+++ b/internal/program/agreement.go
@@ -282,10 +282,10 @@
 	return a.apply(cfg, nil, content)
 }
 
-// SetReading starts or stops reading discovery on behalf of all dispatchers.
-func (a *agreementAdapter) SetReading(on bool) {
+// SetReader makes this dispatcher one of those that read discovery on behalf of all, or no longer one.
+func (a *agreementAdapter) SetReader(on bool) {
 	if a.lists != nil {
-		a.lists.setReading(on)
+		a.lists.setReader(on)
 	}
 }
 
@@ -293,11 +293,11 @@
 // as no other dispatcher reads it on its behalf.
 func (a *agreementAdapter) LeaseLost() {
 	if a.lists != nil {
-		a.lists.startReadingAlone()
+		a.lists.becomeReaderAlone()
 	}
 }
 
-// RegistrySilent reports whether this dispatcher reads discovery and gets no answers.
+// RegistrySilent reports whether this dispatcher watches discovery and gets no answers.
 func (a *agreementAdapter) RegistrySilent() bool { return a.lists != nil && a.lists.discoveryFailing() }
 
 // fillConsole adds the recovery stage and the reason for a missing lease to a console reply.
--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -15,23 +15,24 @@
 )
 
 // listMerger computes the replica list for the core where dispatchers agree on lists: the agreed
-// list, made stricter at once by this dispatcher's own discovery service while that is read.
+// list, made stricter at once by this dispatcher's own discovery service while that is watched.
 type listMerger struct {
-	adapter    *agreementAdapter
-	cfg        config.Lists
-	readOrders chan bool // tells the main goroutine to start or stop reading discovery
+	adapter     *agreementAdapter
+	cfg         config.Lists
+	watchOrders chan bool // tells the main goroutine to start or stop the discovery watch
 
 	mu              sync.Mutex
 	agreed          membership.List
-	own             map[string]membership.Entry // entries from own discovery; nil if it is not read or has sent nothing
+	own             map[string]membership.Entry // entries from own discovery; nil if it is not watched or has sent nothing
 	ownVersion      int64                       // version of the own list
 	liveDispatchers int
 	hasShare        bool
 	inCore          map[string]membership.Entry // entries that the core has
-	readsDiscovery  bool
-	startPending    bool                 // a delayed start of reading is scheduled
-	differsSince    map[string]time.Time // since when an own entry has differed from the agreed one
-	failingSince    time.Time            // since when discovery has not answered; zero if it answers
+	isReader        bool                        // this dispatcher reads discovery on behalf of all
+	pushed          bool                        // discovery pushes lists to an agent beside each dispatcher
+	startPending    bool                        // a delayed start of reading is scheduled
+	differsSince    map[string]time.Time        // since when an own entry has differed from the agreed one
+	failingSince    time.Time                   // since when discovery has not answered; zero if it answers
 	// agree.within: no dispatcher acts on a replaced version for longer than this.
 	within time.Duration
 	ramp   time.Duration // slow-start time: a replica is cold for this long after its start
@@ -45,7 +46,7 @@
 const discoveryTimeout = 2 * time.Second
 
 func newListMerger(a *agreementAdapter, cfg config.Config) *listMerger {
-	l := &listMerger{adapter: a, cfg: *cfg.Agree.Lists, readOrders: make(chan bool, 1), ramp: cfg.Settings.RampTime, within: cfg.Agree.Timing().Within, readsDiscovery: true}
+	l := &listMerger{adapter: a, cfg: *cfg.Agree.Lists, watchOrders: make(chan bool, 1), ramp: cfg.Settings.RampTime, within: cfg.Agree.Timing().Within, isReader: true, pushed: !cfg.Settings.ListOnRequest}
 	if cfg.Recovery != nil && !RecoveryHooks.TrustInitialList {
 		l.suspectSince = time.Now()
 	}
@@ -116,12 +117,12 @@
 	}
 }
 
-// discoveryFailing reports whether discovery is read here and has not answered for
+// discoveryFailing reports whether discovery is watched here and has not answered for
 // discoveryTimeout.
 func (l *listMerger) discoveryFailing() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.readsDiscovery && !l.failingSince.IsZero() && time.Since(l.failingSince) > discoveryTimeout
+	return l.watches() && !l.failingSince.IsZero() && time.Since(l.failingSince) > discoveryTimeout
 }
 
 // pushToCore sends the core the entries that differ from what it has. The caller holds mu.
@@ -130,7 +131,7 @@
 	if core == nil {
 		return
 	}
-	if !l.readsDiscovery && (l.agreed.RegistryVersion >= l.ownVersion || ListHooks.ForgetOnStop) {
+	if !l.watches() && (l.agreed.RegistryVersion >= l.ownVersion || ListHooks.ForgetOnStop) {
 		l.own = nil // the agreed list now covers this own list; until it does, its stricter states stay in effect
 	}
 	join := membership.Effective
@@ -228,11 +229,18 @@
 	return changed
 }
 
-// isReading reports whether discovery is read here.
-func (l *listMerger) isReading() bool {
+// isWatching reports whether the discovery watch runs here.
+func (l *listMerger) isWatching() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.readsDiscovery
+	return l.watches()
+}
+
+// watches is isWatching for callers that hold mu. What a pushed list says counts as told to the
+// dispatcher as soon as its agent has the list, so each dispatcher watches its own agent there, at no
+// cost to discovery. Where discovery has to be asked, only the readers do.
+func (l *listMerger) watches() bool {
+	return l.isReader || l.pushed || l.cfg.NamedBy == config.ByOwn
 }
 
 // resendAll sends the full list to a core that has none yet.
@@ -250,54 +258,63 @@
 	return l.liveDispatchers
 }
 
-// setReading starts or stops reading discovery on behalf of all dispatchers.
-func (l *listMerger) setReading(on bool) {
-	if l.cfg.NamedBy == config.ByOwn {
-		return // every dispatcher always reads its own discovery service
-	}
+// setReader makes this dispatcher one of those that read discovery on behalf of all, or no longer one.
+func (l *listMerger) setReader(on bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if on == l.readsDiscovery || l.startPending {
-		return
+	if !l.startPending {
+		l.updateWatch(func() { l.isReader = on })
 	}
-	if on {
-		l.startReading()
-		return
-	}
-	l.readsDiscovery, l.failingSince = false, time.Time{}
-	l.sendReadOrder(false)
-	l.pushToCore()
 }
 
-// startReadingAlone starts reading discovery after a random delay: no other dispatcher reads it for
-// this one, and all others may be starting at the same time.
-func (l *listMerger) startReadingAlone() {
+// setPushed says whether the settings in force have discovery push its lists.
+func (l *listMerger) setPushed(on bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.readsDiscovery && !l.startPending {
-		l.startPending = true
-		time.AfterFunc(rand.N(4*l.within), func() {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.startPending = false
-			l.startReading()
-		})
+	l.updateWatch(func() { l.pushed = on })
+}
+
+// becomeReaderAlone makes this dispatcher a reader after a random delay: no other dispatcher reads
+// discovery for this one, and all others may be starting at the same time.
+func (l *listMerger) becomeReaderAlone() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isReader || l.startPending {
+		return
 	}
+	l.startPending = true
+	time.AfterFunc(rand.N(4*l.within), func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.startPending = false
+		l.updateWatch(func() { l.isReader = true })
+	})
 }
 
-func (l *listMerger) startReading() {
-	l.readsDiscovery = true
-	l.sendReadOrder(true)
+// updateWatch makes a change on which it depends whether discovery is watched, and starts or stops
+// the watch accordingly. The caller holds mu.
+func (l *listMerger) updateWatch(change func()) {
+	before := l.watches()
+	change()
+	now := l.watches()
+	if now == before {
+		return
+	}
+	l.sendWatchOrder(now)
+	if !now {
+		l.failingSince = time.Time{}
+		l.pushToCore()
+	}
 }
 
-// sendReadOrder tells the main goroutine to start or stop reading; a newer order replaces one that
+// sendWatchOrder tells the main goroutine to start or stop the watch; a newer order replaces one that
 // is pending.
-func (l *listMerger) sendReadOrder(read bool) {
+func (l *listMerger) sendWatchOrder(watch bool) {
 	select {
-	case <-l.readOrders:
+	case <-l.watchOrders:
 	default:
 	}
-	l.readOrders <- read
+	l.watchOrders <- watch
 }
 
 var stateNames = map[logic.Availability]string{logic.Ready: membership.InService, logic.Draining: membership.Terminating, logic.Gone: membership.Terminated}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -141,14 +141,14 @@
 		m = &applianceConsole{} // its nil channels never receive
 	}
 	var applyRequests chan applyRequest
-	var readOrders chan bool
+	var watchOrders chan bool
 	if cfg.Agree.Enabled() {
 		if p.agreement, cfg, err = p.openAgreement(cfg, string(m.dir)); err != nil {
 			return err
 		}
 		applyRequests = p.agreement.applyRequests
 		if p.agreement.lists != nil {
-			readOrders = p.agreement.lists.readOrders
+			watchOrders = p.agreement.lists.watchOrders
 		}
 	}
 	if err := p.apply(cfg); err != nil {
@@ -185,7 +185,7 @@
 			p.reload(load)
 		case r := <-m.reloads:
 			r.reply <- p.adopt(r.cfg)
-		case on := <-readOrders:
+		case on := <-watchOrders:
 			p.current.setWatching(on)
 		case t := <-applyRequests:
 			before := p.lease
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -78,10 +78,13 @@
 	// If designated dispatchers read discovery for all, the number of siblings does not affect the
 	// watch.
 	rewatch := cfg.Discovery != s.cfg.Discovery || listed || set.Siblings != old.Siblings && s.lists == nil || !slices.Equal(set.Kinds, old.Kinds)
-	if rewatch && (s.lists == nil || s.lists.isReading()) {
+	if rewatch && (s.lists == nil || s.lists.isWatching()) {
 		s.watch(cfg)
 	}
 	s.cfg = cfg
+	if s.lists != nil {
+		s.lists.setPushed(!set.ListOnRequest)
+	}
 	return nil
 }
 
--- a/internal/proving/fleet.go
+++ b/internal/proving/fleet.go
@@ -128,7 +128,7 @@
 		for _, d := range f.Dispatchers {
 			names = append(names, d.Name)
 		}
-		if f.registry, err = newRegistry(replicas, spare, names); err != nil {
+		if f.registry, err = newRegistry(replicas, spare, names, !s.OnRequest); err != nil {
 			return nil, err
 		}
 	}
@@ -157,6 +157,9 @@
 			d.config["discovery"] = f.registry.agents[d.Name].Addr
 			d.config["agree"].(map[string]any)["lists"] = map[string]any{"readers": 2}
 		}
+		if s.OnRequest {
+			d.config["settings"].(map[string]any)["registry_mode"] = "on_request"
+		}
 		if s.Ledger != "" && s.Ledger != ledgerOff {
 			d.config["ledger"] = map[string]any{"keep": "1h", "survive": s.Ledger}
 		}
@@ -315,8 +318,8 @@
 	return r, err
 }
 
-// resolve returns the dispatchers that a script means by a name: one dispatcher, "leader", "reader"
-// or "*".
+// resolve returns the dispatchers that a script means by a name: one dispatcher, "leader", "reader",
+// "nonreader" or "*".
 func (f *Fleet) resolve(name string) []*Dispatcher {
 	var matches []*Dispatcher
 	for _, d := range f.Dispatchers {
@@ -324,8 +327,11 @@
 			matches = append(matches, d)
 		}
 	}
-	if name == "reader" {
-		return f.currentReader()
+	switch name {
+	case "reader":
+		return f.withRole(func(readers []string, d string) bool { return slices.Contains(readers, d) })
+	case "nonreader":
+		return f.withRole(func(readers []string, d string) bool { return !slices.Contains(readers, d) })
 	}
 	if name != "leader" {
 		return matches
@@ -343,16 +349,22 @@
 	return nil
 }
 
-// currentReader returns one of the dispatchers that read the registry for all. It waits until there
-// is one.
-func (f *Fleet) currentReader() []*Dispatcher {
+// withRole returns the first dispatcher that matches, given the names of those that read the registry
+// for all. It waits until there are readers.
+func (f *Fleet) withRole(matches func(readers []string, dispatcher string) bool) []*Dispatcher {
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		for _, d := range f.Dispatchers {
 			if !d.Running() || d.stopped.Load() || time.Now().After(end) {
 				continue
 			}
-			if r, err := f.SendCommand(d, cluster.Command{Do: "view", ViewFilter: cluster.ViewFilter{Section: cluster.SectionSettings}}); err == nil && r.View != nil && len(r.View.RegistryReaders) > 0 {
-				return f.resolve(r.View.RegistryReaders[0])
+			r, err := f.SendCommand(d, cluster.Command{Do: "view", ViewFilter: cluster.ViewFilter{Section: cluster.SectionSettings}})
+			if err != nil || r.View == nil || len(r.View.RegistryReaders) == 0 {
+				continue
+			}
+			for _, x := range f.Dispatchers {
+				if matches(r.View.RegistryReaders, x.Name) {
+					return []*Dispatcher{x}
+				}
 			}
 		}
 	}
--- a/internal/proving/generate.go
+++ b/internal/proving/generate.go
@@ -98,7 +98,7 @@
 		add(span(0.1, 5), st)
 	}
 	if options.Lists {
-		s.Lists = true
+		s.Lists, s.OnRequest = true, seed%2 == 1
 		s.addRegistryChanges(r, anyDispatcher, span, add)
 	}
 	if options.OrderedRecovery {
--- a/internal/proving/measure.go
+++ b/internal/proving/measure.go
@@ -227,7 +227,7 @@
 func (nopProgram) Check(string) *clusterstate.Fault                         { return nil }
 func (nopProgram) Activate(clusterstate.Version, *clusterstate.Lease) error { return nil }
 func (nopProgram) ApplyList(membership.List, int, bool) error               { return nil }
-func (nopProgram) SetReading(bool)                                          {}
+func (nopProgram) SetReader(bool)                                           {}
 func (nopProgram) LeaseLost()                                               {}
 func (nopProgram) RegistrySilent() bool                                     { return false }
 func (nopProgram) Phase() string                                            { return "ready" }
--- a/internal/proving/play.go
+++ b/internal/proving/play.go
@@ -174,11 +174,11 @@
 	}
 }
 
-// resolve returns what Fleet.resolve does, except that "leader" or "reader" means the same dispatcher
+// resolve returns what Fleet.resolve does, except that a role such as "leader" means the same dispatcher
 // for 50 ms after a script first named it. Both steps of a cut in two directions therefore concern
 // the same dispatcher.
 func (p *play) resolve(name string) []*Dispatcher {
-	if name != "leader" && name != "reader" {
+	if name != "leader" && name != "reader" && name != "nonreader" {
 		return p.fleet.resolve(name)
 	}
 	if now := p.fleet.Now(); p.resolvedName != name || now-p.resolvedAt > 50*time.Millisecond {
--- a/internal/proving/proving_test.go
+++ b/internal/proving/proving_test.go
@@ -30,16 +30,12 @@
 // TestNamedScripts runs the hard cases, each a script with a name: several processes with faults
 // between them, judged from outside.
 func TestNamedScripts(t *testing.T) {
-	files, err := filepath.Glob("scripts/*.toml")
-	if err != nil || len(files) < 14 {
-		t.Fatalf("%d scripts, %v", len(files), err)
+	scripts, err := NamedScripts()
+	if err != nil || len(scripts) < 14 {
+		t.Fatalf("%d scripts, %v", len(scripts), err)
 	}
 	slots := make(chan bool, maxParallel)
-	for _, file := range files {
-		s, err := Load(file)
-		if err != nil {
-			t.Fatal(err)
-		}
+	for _, s := range scripts {
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
 			slots <- true
--- a/internal/proving/registry.go
+++ b/internal/proving/registry.go
@@ -22,10 +22,11 @@
 	history [][]fake.Entry // by version, from 1 on
 	agents  map[string]*fake.Agent
 	spare   []fake.Entry // replicas that run but are not listed yet
+	pushed  bool         // lists are pushed to the agents; otherwise dispatchers ask for them
 }
 
-func newRegistry(list, spare []fake.Entry, names []string) (*registry, error) {
-	r := &registry{version: 1, list: list, history: [][]fake.Entry{nil, list}, agents: map[string]*fake.Agent{}, spare: spare}
+func newRegistry(list, spare []fake.Entry, names []string, pushed bool) (*registry, error) {
+	r := &registry{version: 1, pushed: pushed, list: list, history: [][]fake.Entry{nil, list}, agents: map[string]*fake.Agent{}, spare: spare}
 	for _, name := range names {
 		a, err := fake.StartAgent("127.0.0.1:0", list...)
 		if err != nil {
@@ -134,7 +135,7 @@
 	Replica string
 	// AgreedAt is when the agreed list was first seen without the replica in service; 0 if never.
 	AgreedAt   time.Duration
-	NotifiedAt map[string]time.Duration // by dispatcher: when its own registry agent reported the drain
+	NotifiedAt map[string]time.Duration // by dispatcher: when it was told of the drain, see toldAt
 	EndsAt     time.Duration            // earliest time at which the drain may end; 0 if it does not end
 	ByOperator bool                     // ordered by an operator, so that the registry does not end it
 }
@@ -151,7 +152,7 @@
 			p.mu.Lock()
 			done := d.EndsAt != 0 && p.fleet.Now() > d.EndsAt
 			for name, a := range p.registry.agents {
-				if at := a.RemovalServedAt(replica); !at.IsZero() && d.NotifiedAt[name] == 0 {
+				if at := p.registry.toldAt(a, replica); !at.IsZero() && d.NotifiedAt[name] == 0 {
 					d.NotifiedAt[name] = at.Sub(p.fleet.start)
 				}
 			}
@@ -180,6 +181,15 @@
 	})
 }
 
+// toldAt returns when the dispatcher of an agent was told that a replica is out of service, or the
+// zero time. Where lists are pushed, what the agent has counts as told; otherwise what it has sent.
+func (r *registry) toldAt(a *fake.Agent, replica string) time.Time {
+	if r.pushed {
+		return a.RemovalHeldAt(replica)
+	}
+	return a.RemovalServedAt(replica)
+}
+
 // markDrainAgreed records that a drain was decided at the latest by a time.
 func (p *play) markDrainAgreed(replica string, at time.Duration) {
 	p.updateDrains(func(d *Drain) bool { return d.Replica == replica }, func(d *Drain) { setEarliest(&d.AgreedAt, at) })
@@ -231,7 +241,7 @@
 }
 
 // checkDrains reports attempts that were sent to a draining replica too late: more than drainGrace
-// after the dispatcher's own agent reported the drain, or more than Within after the agreed list
+// after the dispatcher was told of the drain, or more than Within after the agreed list
 // was seen without the replica. Exempt are the requests that a dispatcher without contact may
 // continue by the last list that it knew.
 func (r *Record) checkDrains(exempt map[string]bool, report func(rule, format string, args ...any)) {
@@ -242,7 +252,7 @@
 				continue
 			}
 			if notifiedAt := d.NotifiedAt[dispatcher]; notifiedAt != 0 && a.From > notifiedAt+drainGrace {
-				report("drain", "%s sent %s to %s %v after its registry agent reported that the replica drains", dispatcher, a.ID, d.Replica, a.From-notifiedAt)
+				report("drain", "%s sent %s to %s %v after it was told that the replica drains", dispatcher, a.ID, d.Replica, a.From-notifiedAt)
 			}
 			if d.AgreedAt != 0 && a.From > d.AgreedAt+r.Within && !exempt[a.ID] {
 				report("drain", "%s sent %s to %s %v after the agreed list had the replica drained", dispatcher, a.ID, d.Replica, a.From-d.AgreedAt)
@@ -251,5 +261,5 @@
 	}
 }
 
-// drainGrace is how long after the report of a drain a dispatcher may still send to the replica.
+// drainGrace is how long after it was told of a drain a dispatcher may still send to the replica.
 const drainGrace = time.Second
--- a/internal/proving/script.go
+++ b/internal/proving/script.go
@@ -47,6 +47,9 @@
 	Fault  string `toml:"fault,omitempty"`
 	Lists  bool   `toml:"lists,omitempty"` // dispatchers also agree on lists of replicas
 	Steps  []Step `toml:"step"`
+	// OnRequest, with Lists, has dispatchers ask the registry for lists. Otherwise it pushes them to
+	// the dispatchers' agents.
+	OnRequest bool `toml:"on_request,omitempty"`
 	// Last is how long the steps and the traffic run. Then all faults are undone, and all
 	// dispatchers must agree again.
 	Last string `toml:"last"`
@@ -68,7 +71,7 @@
 
 // Step is one event of a script. Dispatchers are named v1, v2, ... (voters) and o1, o2, ...
 // (others); "leader" is the voter that leads, "reader" one of the dispatchers that read the
-// registry for all others, and "*" stands for all dispatchers.
+// registry for all others, "nonreader" one of those others, and "*" stands for all dispatchers.
 type Step struct {
 	At    string `toml:"at"`
 	Do    string `toml:"do"`
@@ -169,11 +172,22 @@
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", file, err)
 		}
-		all = append(all, s)
+		all = append(all, s.inEachMode()...)
 	}
 	return all, nil
 }
 
+// inEachMode returns a script that is about lists for each way in which lists come from the registry:
+// pushed, and on request. Other scripts are returned as they are.
+func (s Script) inEachMode() []Script {
+	if !s.Lists || s.OrderedRecovery {
+		return []Script{s}
+	}
+	onRequest := s
+	onRequest.Name, onRequest.OnRequest = s.Name+"-on-request", true
+	return []Script{s, onRequest}
+}
+
 // CanDetect reports whether a script could detect a fault: faults in lists, the ledger or recovery
 // show only in scripts that use those.
 func (s Script) CanDetect(fault string) bool {
