Watch discovery anew when a file changes how its lists come

After a SIGHUP that makes discovery push its lists, the watch went on with the times of a service that is asked: an agent that fell silent was noticed after up to 2.85 s, not 1.85 s, and the other way round it was asked too often.

TestSIGHUPChangesHowListsCome fails without the change (no watch of an agent within 10 s, 1 of 1) and passes with it.

--- a/cmd/standpulley/sighup_test.go
+++ b/cmd/standpulley/sighup_test.go
@@ -91,3 +91,25 @@
 		t.Errorf("%d sends to one zone and %d to the other, want both sends in the same", n, m)
 	}
 }
+
+// TestSIGHUPChangesHowListsCome guards against a watch that goes on as before when a file makes
+// discovery push its lists: a silent agent was then noticed as late as a service that is asked.
+func TestSIGHUPChangesHowListsCome(t *testing.T) {
+	_, reader := startReplica(t, "reader", "reader", func(x *fake.Exchange) { x.Read(0) })
+	agent, addr, path := startAgent(t, reader), freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	withMode := func(mode string) string {
+		return strings.Replace(settings, `"siblings":1,`, `"siblings":1,"registry_mode":"`+mode+`",`, 1)
+	}
+	cmd, out := startProgram(t, writeConfig(t, path, addr, agent.Addr, withMode("on_request"), ""))
+	watches := func(wait string) func() bool {
+		return func() bool {
+			queries := agent.Queries()
+			return len(queries) > 0 && strings.HasSuffix(queries[len(queries)-1], "&wait="+wait)
+		}
+	}
+	waitFor(t, "a ready program", func() bool { return strings.Contains(out.String(), "n0: ready") })
+	waitFor(t, "a watch of a service that is asked", watches("2000"))
+	writeConfig(t, path, addr, agent.Addr, withMode("pushed"), "")
+	sendSignal(t, cmd, syscall.SIGHUP)
+	waitFor(t, "a watch of an agent", watches("1000"))
+}
--- a/internal/program/stack.go
+++ b/internal/program/stack.go
@@ -77,7 +77,8 @@
 	listed := cfg.Discovery == "" && !reflect.DeepEqual(cfg.Known, s.cfg.Known)
 	// If designated dispatchers read discovery for all, the number of siblings does not affect the
 	// watch.
-	rewatch := cfg.Discovery != s.cfg.Discovery || listed || set.Siblings != old.Siblings && s.lists == nil || !slices.Equal(set.Kinds, old.Kinds)
+	rewatch := cfg.Discovery != s.cfg.Discovery || listed || set.Siblings != old.Siblings && s.lists == nil || !slices.Equal(set.Kinds, old.Kinds) ||
+		set.ListOnRequest != old.ListOnRequest
 	if rewatch && (s.lists == nil || s.lists.isWatching()) {
 		s.watch(cfg)
 	}
