Write each action with the fields of its verb only

The writer is a table now: each verb with its fields, and no other field can be written. An action without a verb is an error.

--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -26,34 +27,58 @@
 	w.buf = strconv.AppendInt(append(append(append(w.buf, '\t'), name...), '='), v, 10)
 }
 
-// Action writes one action of an instance.
-func (w *Writer) Action(instance int, a *logic.Action) error {
-	verbs := [...]string{logic.Send: "PASS_ON", logic.Refuse: "BOUNCE", logic.Fail: "REPORT_FAILURE",
-		logic.Release: "DISCARD", logic.Cancel: "REVOKE", logic.Wake: "WAKE_AT", logic.Watch: "LISTEN", logic.Probe: "ASK_LOAD"}
-	w.buf = append(w.buf[:0], verbs[a.Kind]...)
-	w.int("i", int64(instance))
-	if a.RequestID != "" {
-		w.text("corr", a.RequestID)
+// verb is how an action of one kind is written: its name, and its fields in order.
+type verb struct {
+	name   string
+	fields []field
+}
+
+// field writes one field of an action, or nothing if the field is optional and not set.
+type field func(*Writer, *logic.Action)
+
+// The fields of actions, by their names on the wire.
+var (
+	corr     field = func(w *Writer, a *logic.Action) { w.text("corr", a.RequestID) }
+	host     field = func(w *Writer, a *logic.Action) { w.text("host", a.Server) }
+	shot     field = func(w *Writer, a *logic.Action) { w.int("shot", int64(a.Attempt)) }
+	delayUS  field = func(w *Writer, a *logic.Action) { w.int("delay_us", max(a.After.Microseconds(), 1)) }
+	tag      field = func(w *Writer, a *logic.Action) { w.int("tag", int64(a.Tag)) }
+	activeOn field = func(w *Writer, _ *logic.Action) { w.int("active", 1) }
+	pauseUS  field = func(w *Writer, a *logic.Action) {
+		if a.After > 0 {
+			w.int("pause_us", a.After.Microseconds())
+		}
 	}
-	switch a.Kind {
-	case logic.Send:
-		w.text("host", a.Server)
+	notPastUS field = func(w *Writer, a *logic.Action) {
 		if a.Until > 0 {
 			w.int("not_past_us", a.Until.Microseconds())
 		}
-	case logic.Probe:
-		w.text("host", a.Server)
-	case logic.Refuse:
-		if a.After > 0 {
-			w.int("pause_us", a.After.Microseconds())
-		}
-	case logic.Cancel:
-		w.int("shot", int64(a.Attempt))
-	case logic.Wake:
-		w.int("delay_us", max(a.After.Microseconds(), 1))
-		w.int("tag", int64(a.Tag))
-	case logic.Watch:
-		w.int("active", 1)
+	}
+)
+
+// verbs has the verb of each kind of action. Its fields are those of the page on the wire, and no
+// others are written, whatever else is set in an action: a timer has no request on the wire.
+var verbs = [...]verb{
+	logic.Send:    {"PASS_ON", []field{corr, host, notPastUS}},
+	logic.Refuse:  {"BOUNCE", []field{corr, pauseUS}},
+	logic.Fail:    {"REPORT_FAILURE", []field{corr}},
+	logic.Release: {"DISCARD", []field{corr}},
+	logic.Cancel:  {"REVOKE", []field{corr, shot}},
+	logic.Wake:    {"WAKE_AT", []field{delayUS, tag}},
+	logic.Watch:   {"LISTEN", []field{activeOn}},
+	logic.Probe:   {"ASK_LOAD", []field{host}},
+}
+
+// Action writes one action of an instance.
+func (w *Writer) Action(instance int, a *logic.Action) error {
+	if int(a.Kind) >= len(verbs) {
+		return fmt.Errorf("action %d has no verb on the wire", a.Kind)
+	}
+	v := &verbs[a.Kind]
+	w.buf = append(w.buf[:0], v.name...)
+	w.int("i", int64(instance))
+	for _, write := range v.fields {
+		write(w, a)
 	}
 	return w.line()
 }
