Admit requests for 0.55 s after SIGTERM, and close a busy port before that

What new connections bring has to be admitted. New ones come for 0.4 s; the port was closed from 0.45 s on, by up to 0.25 s later where clients go on to connect, as they do at an address that a new version shares, and what the last ones brought was refused. The port is closed from 0.4 s on and by 0.52 s at the latest.

--- a/cmd/standpulley/shutdown_test.go
+++ b/cmd/standpulley/shutdown_test.go
@@ -342,3 +342,32 @@
 		}
 	}
 }
+
+// TestLateSIGTERMStopsAdmissionInTime guards against a process that is held up when SIGTERM comes, and
+// then takes a request more than 0.7 s after it, which SIGKILL may cut.
+func TestLateSIGTERMStopsAdmissionInTime(t *testing.T) {
+	const heldUp, late = 150 * time.Millisecond, 730 * time.Millisecond
+	replica, reader := startReplica(t, "reader", "reader", func(x *fake.Exchange) { x.Read(0) })
+	_, writer := startReplica(t, "writer", "writer", func(x *fake.Exchange) { x.Answer("whole") })
+	agent, addr, path := startAgent(t, reader, writer), freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	cmd, out := startProgram(t, writeConfig(t, path, addr, agent.Addr, settings, ""))
+	waitFor(t, "a ready program", func() bool { return strings.Contains(out.String(), "n0: ready") })
+	c := sendRequest(t, addr, 1)
+	if status, _, err := readResponse(t, c); err != nil || status != 200 {
+		t.Fatalf("before SIGTERM: %d %v", status, err)
+	}
+	sendSignal(t, cmd, syscall.SIGSTOP)
+	termAt := time.Now()
+	sendSignal(t, cmd, syscall.SIGTERM)
+	time.Sleep(heldUp)
+	sendSignal(t, cmd, syscall.SIGCONT)
+	time.Sleep(time.Until(termAt.Add(late)))
+	_, _ = io.WriteString(c, requestText(addr, 2)) // the connection may be closed by now
+	_, _, _ = readResponse(t, c)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if n := len(replica.Calls("POST")); n != 1 {
+		t.Errorf("a request that came %v after SIGTERM was sent on", late)
+	}
+}
--- a/internal/front/port.go
+++ b/internal/front/port.go
@@ -67,7 +67,7 @@
 	// has not taken yet; closing the address would reset them. So connections are accepted until
 	// none has arrived for drainQuietPeriod, but for no longer than drainMaxTime.
 	drainQuietPeriod = 20 * time.Millisecond
-	drainMaxTime     = 200 * time.Millisecond
+	drainMaxTime     = 70 * time.Millisecond
 )
 
 func (p *Port) accept() {
--- a/internal/program/drain.go
+++ b/internal/program/drain.go
@@ -9,17 +9,24 @@
 )
 
 const (
-	acceptAfterTerm   = 450 * time.Millisecond // new connections still arrive for 0.4 s after SIGTERM
-	acceptBacklogTime = 50 * time.Millisecond  // time to accept connections that wait in the kernel's backlog
+	// New connections still arrive for this long after SIGTERM. What they bring is to be admitted, so the
+	// port, which accepts until connections have ceased to arrive, closes before keepAliveAfterTerm.
+	acceptAfterTerm   = 400 * time.Millisecond
+	acceptBacklogTime = 50 * time.Millisecond // time to accept connections that wait in the kernel's backlog
 	// SIGKILL follows SIGTERM no sooner than the longest request deadline plus this.
 	killGrace       = 700 * time.Millisecond
 	killDeadlineCap = 3 * time.Second // a longer deadline counts as this
 	// Requests still unanswered are answered this long before the earliest SIGKILL.
-	answerMargin       = 400 * time.Millisecond
-	keepAliveAfterTerm = 600 * time.Millisecond // after SIGTERM clients may use their open connections for this long
-	moveStart          = 0.7                    // fraction of answerBy after which streams start to move
-	moveSpread         = 0.2                    // fraction of answerBy over which the moves are spread
-	selfDialTimeout    = 50 * time.Millisecond  // timeout for a connection to the local machine
+	answerMargin = 400 * time.Millisecond
+	// A request that comes this long after SIGTERM is lost if SIGKILL finds it unanswered.
+	lateAfterTerm = 700 * time.Millisecond
+	// SIGTERM, and the timers that it starts, may be late by this much, as the process may be held up.
+	signalDelay = 150 * time.Millisecond
+	// After SIGTERM clients may use their open connections for this long.
+	keepAliveAfterTerm = lateAfterTerm - signalDelay
+	moveStart          = 0.7                   // fraction of answerBy after which streams start to move
+	moveSpread         = 0.2                   // fraction of answerBy over which the moves are spread
+	selfDialTimeout    = 50 * time.Millisecond // timeout for a connection to the local machine
 )
 
 // answerBy returns how long after SIGTERM requests may wait for an answer. A request that is
