--- a/internal/proving/fleet.go
+++ b/internal/proving/fleet.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -349,9 +350,10 @@
 	return nil
 }
 
-// withRole returns the first dispatcher that matches, given the names of those that read the registry
-// for all. It waits until there are readers.
+// withRole returns the first dispatcher by name that matches, given the names of those that read the
+// registry for all. It waits until there are readers.
 func (f *Fleet) withRole(matches func(readers []string, dispatcher string) bool) []*Dispatcher {
+	byName := slices.SortedFunc(slices.Values(f.Dispatchers), func(a, b *Dispatcher) int { return strings.Compare(a.Name, b.Name) })
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		for _, d := range f.Dispatchers {
 			if !d.Running() || d.stopped.Load() || time.Now().After(end) {
@@ -361,7 +363,7 @@
 			if err != nil || r.View == nil || len(r.View.RegistryReaders) == 0 {
 				continue
 			}
-			for _, x := range f.Dispatchers {
+			for _, x := range byName {
 				if matches(r.View.RegistryReaders, x.Name) {
 					return []*Dispatcher{x}
 				}
