Count the first event of a stream as taken when its client asks for more

A live stream was cut: its client took the first event for longer than a stream may pause, and the second had not come yet.

The limit on a pause runs from when the client had taken an event, which the next call of Next tells. The first call tells it too, though the first event is handed out by it, so that event counted as taken before the client had it, and its time as time without an event.

--- a/internal/replica/broken_test.go
+++ b/internal/replica/broken_test.go
@@ -79,6 +79,33 @@
 	}
 }
 
+// TestSlowClientOfTheFirstEventKeepsItsStream guards against a stream that is cut because its client
+// took the first event slowly, before the second had come.
+func TestSlowClientOfTheFirstEventKeepsItsStream(t *testing.T) {
+	t.Parallel()
+	pool := NewPool(4, 0, 0)
+	pool.StallTimeout = 300 * time.Millisecond
+	rep, _ := send(pool, startReplica(t, func(x *fake.Exchange) {
+		x.Head()
+		x.Token("one")
+		time.Sleep(pool.StallTimeout / 3)
+		x.Token("two")
+		x.End()
+	}).Addr, 5*time.Second, "b")
+	s := <-rep.began
+	first, err := s.Next()
+	if err != nil || strings.Contains(string(first), "two") {
+		t.Fatalf("the first event: %q, %v", first, err)
+	}
+	time.Sleep(2 * pool.StallTimeout)
+	for err == nil {
+		_, err = s.Next()
+	}
+	if got := rep.result(t); err != io.EOF || got.Outcome != logic.Delivered {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
 // TestProgressDeadline guards against a limit that runs from anything but the last event that was
 // passed on: lines of the framing must not renew it, and a part of an event only while more of the
 // event comes.
--- a/internal/replica/stream.go
+++ b/internal/replica/stream.go
@@ -94,8 +94,9 @@
 // Next returns the next bytes as they arrive. A stream has no deadline: it is cut only if no event
 // ends for StallTimeout and none is being written.
 func (s *stream) Next() ([]byte, error) {
-	s.progress.resume(time.Now())
-	if !s.relayed {
+	if s.relayed {
+		s.progress.resume(time.Now())
+	} else { // the client has not got the first event yet
 		s.relayed = true
 		s.a.liftDeadline()
 		s.a.c.beforeRead = s.allowPause
